Lay out the workspace, the domain types and the design

Change: workspace of 7 packages in four layers, domain types with one validation function, peer and member control services, seams, design page.

--- /dev/null
+++ b/crates/cassiactl/src/main.rs
@@ -0,0 +1,2 @@
+//! The tool of operators.
+fn main() {}
--- /dev/null
+++ b/crates/cassiad/src/main.rs
@@ -0,0 +1,2 @@
+//! The daemon on an entry host.
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages between cassiatrestle's own processes, the mapping to and from the
+//! callers' protocol, and result codes.
+//!
+//! Borders: encodes, decodes and classifies; opens no sockets.
+
+pub mod member_control;
+pub mod peer;
+pub mod result_code;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test-only stand-ins for what is outside the proxy.
--- /dev/null
+++ b/crates/state/src/check.rs
@@ -0,0 +1,79 @@
+//! Problems found in a document or settings file.
+
+use std::fmt;
+
+/// One problem: where it is, what was found and what is allowed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckProblem {
+    /// Path of the key, such as `group[0].member[1].slots`.
+    pub path: String,
+    /// What was found.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl CheckProblem {
+    /// Builds a problem from borrowed parts.
+    pub fn new(path: &str, found: &str, allowed: &str) -> Self {
+        Self {
+            path: path.to_owned(),
+            found: found.to_owned(),
+            allowed: allowed.to_owned(),
+        }
+    }
+}
+
+impl fmt::Display for CheckProblem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}: found {}, allowed: {}",
+            self.path, self.found, self.allowed
+        )
+    }
+}
+
+/// Collects the problems of one check, so that all are reported at once.
+#[derive(Debug, Default)]
+pub struct ProblemList {
+    problems: Vec<CheckProblem>,
+}
+
+impl ProblemList {
+    /// Adds a problem.
+    pub fn push(&mut self, path: &str, found: &str, allowed: &str) {
+        self.problems.push(CheckProblem::new(path, found, allowed));
+    }
+
+    /// Adds a problem when `value` is outside `low..=high`.
+    pub fn require_range(&mut self, path: &str, value: u64, low: u64, high: u64) {
+        if (low..=high).contains(&value) {
+            return;
+        }
+        self.push(path, &value.to_string(), &format!("{low} to {high}"));
+    }
+
+    /// Adds a problem when `name` is not 1 to 63 bytes of `[a-z0-9_-]`.
+    pub fn require_name(&mut self, path: &str, name: &str) {
+        let allowed = |byte: u8| {
+            byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'_'
+        };
+        if !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed) {
+            return;
+        }
+        self.push(
+            path,
+            &format!("{name:?}"),
+            "1 to 63 characters of a-z, 0-9, - and _",
+        );
+    }
+
+    /// Returns `value` if nothing was found, else all problems.
+    pub fn finish<T>(self, value: T) -> Result<T, Vec<CheckProblem>> {
+        if self.problems.is_empty() {
+            return Ok(value);
+        }
+        Err(self.problems)
+    }
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,15 @@
+//! Domain types of cassiatrestle: terms and log positions, member reports,
+//! session tokens, request ids, the intent document and a daemon's settings.
+//!
+//! Borders: no I/O, no async runtime, no decisions. Everything here can be
+//! built, compared, serialised and validated from plain values.
+
+pub mod check;
+pub mod clock;
+pub mod document;
+pub mod keys;
+pub mod log;
+pub mod member;
+pub mod request;
+pub mod session;
+pub mod settings;
--- /dev/null
+++ b/crates/transport/src/group_handle.rs
@@ -0,0 +1,113 @@
+//! The handle through which caller sessions use a group's monitor.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use coordination::view::{GroupView, GroupWatermark};
+use state::keys::MemberKey;
+use state::log::LogPosition;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Result of a request to the monitor.
+pub type Result<T> = std::result::Result<T, MonitorGone>;
+
+/// The monitor's task has ended, because the group was removed or the daemon
+/// is shutting down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MonitorGone;
+
+/// Whether a commit was confirmed by its deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfirmOutcome {
+    /// A majority holds the commit at its term.
+    Confirmed {
+        /// A replica that confirmed it and can serve the session's next read.
+        replica: Option<MemberKey>,
+    },
+    /// Not confirmed in time, or the term has ended: the outcome is unknown.
+    Unknown,
+}
+
+/// A request to the monitor.
+#[derive(Debug)]
+pub enum MonitorRequest {
+    /// Asks for a watermark whose round starts after this request arrived.
+    Watermark {
+        /// Receives the watermark.
+        reply: oneshot::Sender<GroupWatermark>,
+    },
+    /// Asks for the confirmation of a commit.
+    Confirm {
+        /// Position of the commit at the term of its primary.
+        position: LogPosition,
+        /// Deadline.
+        deadline: Instant,
+        /// Receives the outcome.
+        reply: oneshot::Sender<ConfirmOutcome>,
+    },
+    /// Reports that an exchange with a member failed, so that it is probed at
+    /// once.
+    Suspect {
+        /// The member.
+        member: MemberKey,
+    },
+}
+
+/// Handle to the monitor of one group.
+#[derive(Clone, Debug)]
+pub struct GroupHandle {
+    views: watch::Receiver<Arc<GroupView>>,
+    requests: mpsc::Sender<MonitorRequest>,
+}
+
+impl GroupHandle {
+    /// Builds a handle from the monitor's channels.
+    pub fn new(
+        views: watch::Receiver<Arc<GroupView>>,
+        requests: mpsc::Sender<MonitorRequest>,
+    ) -> Self {
+        Self { views, requests }
+    }
+
+    /// Returns the newest view.
+    pub fn view(&self) -> Arc<GroupView> {
+        self.views.borrow().clone()
+    }
+
+    /// Waits for a view that differs from the last one that this handle saw.
+    pub async fn next_view(&mut self) -> Result<Arc<GroupView>> {
+        self.views.changed().await.map_err(|_| MonitorGone)?;
+        Ok(self.views.borrow_and_update().clone())
+    }
+
+    /// Waits for a watermark that is asked after this call.
+    pub async fn watermark(&self) -> Result<GroupWatermark> {
+        let (reply, answer) = oneshot::channel();
+        self.send(MonitorRequest::Watermark { reply }).await?;
+        answer.await.map_err(|_| MonitorGone)
+    }
+
+    /// Waits until a commit is confirmed or its deadline has passed.
+    pub async fn confirm(&self, position: LogPosition, deadline: Instant) -> ConfirmOutcome {
+        let (reply, answer) = oneshot::channel();
+        let request = MonitorRequest::Confirm {
+            position,
+            deadline,
+            reply,
+        };
+        if self.send(request).await.is_err() {
+            return ConfirmOutcome::Unknown;
+        }
+        answer.await.unwrap_or(ConfirmOutcome::Unknown)
+    }
+
+    /// Reports a failed exchange with a member. Dropped when the monitor is
+    /// busy, since it then probes soon anyway.
+    pub fn suspect(&self, member: MemberKey) {
+        let _ = self.requests.try_send(MonitorRequest::Suspect { member });
+    }
+
+    async fn send(&self, request: MonitorRequest) -> Result<()> {
+        self.requests.send(request).await.map_err(|_| MonitorGone)
+    }
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,7 @@
+//! Sockets, pools, RPC and the clients of the platform and of backend servers.
+//!
+//! Borders: carries out what `coordination` decides; makes no decision that a
+//! test without sockets could not reach.
+
+pub mod group_handle;
+pub mod seam;
