Add difference and three-way merge of intent documents

Cause: two operators who race must not overwrite each other's change unseen. Change: changes are listed by path with list entries matched by name; a merge keeps both sides' changes and reports keys that both changed. Conclusion: a stale draft can be merged or refused with the exact keys.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,4 +4,5 @@
 //! takes the events and the current instant and returns actions; the transport
 //! layer carries them out.
 
+pub mod document_diff;
 pub mod view;
