coordination: add admission, retry, adoption, request records, membership

Cause: the daemon needs its limits and its retry, adoption and membership decisions as pure state machines before the transport layer can use them.

Change: admission queues one member with strict priorities, one start in 20 guaranteed to lower priorities, and start-time fair queueing by slot time between customers. The wait is judged by the recent mean and deviation of the service time, which fade without samples. retry charges the budget only for statements that were sent. request_record gives the SQL texts and the steps for recording an id. membership combines the list, own observations and peers.

--- /dev/null
+++ b/crates/coordination/src/admission/fair_level.rs
@@ -0,0 +1,165 @@
+//! Weighted fair order between the customers of one priority.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use slotmap::SlotMap;
+use state::keys::CustomerKey;
+
+use super::TicketKey;
+
+slotmap::new_key_type! {
+    /// Key of one customer's flow at one priority.
+    pub(super) struct FlowKey;
+}
+
+#[derive(Clone, Debug)]
+struct CustomerFlow {
+    customer: CustomerKey,
+    weight: u64,
+    /// Start tag of the next request: service received so far, divided by the
+    /// weight, in virtual nanoseconds.
+    tag: i128,
+    queue: BTreeMap<u64, TicketKey>,
+    running: usize,
+}
+
+/// Start-time fair queueing over the customers of one priority. The unit is
+/// slot time: a request is charged its expected service time when it starts
+/// and the difference to the measured one when it ends, so that a customer
+/// with slow statements gets no larger share than one with fast ones.
+///
+/// # Invariants
+///
+/// `backlog` holds exactly the flows with a queued request, each under its
+/// current tag. `queued` is the number of queued requests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairLevel {
+    flows: SlotMap<FlowKey, CustomerFlow>,
+    by_customer: HashMap<CustomerKey, FlowKey>,
+    backlog: BTreeSet<(i128, FlowKey)>,
+    backlog_weight: u64,
+    virtual_time: i128,
+    queued: usize,
+}
+
+impl FairLevel {
+    pub(super) fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Returns the flow of a customer, created if needed, with its new weight.
+    pub(super) fn flow(&mut self, customer: CustomerKey, weight: u64) -> FlowKey {
+        assert!(weight > 0, "weight of a customer is at least 1");
+        let virtual_time = self.virtual_time;
+        let flows = &mut self.flows;
+        let key = *self.by_customer.entry(customer).or_insert_with(|| {
+            flows.insert(CustomerFlow {
+                customer,
+                weight,
+                tag: virtual_time,
+                queue: BTreeMap::new(),
+                running: 0,
+            })
+        });
+        let flow = &mut self.flows[key];
+        if !flow.queue.is_empty() {
+            self.backlog_weight = self.backlog_weight - flow.weight + weight;
+        }
+        flow.weight = weight;
+        key
+    }
+
+    pub(super) fn push(&mut self, key: FlowKey, sequence: u64, ticket: TicketKey) {
+        let flow = &mut self.flows[key];
+        if flow.queue.is_empty() {
+            flow.tag = flow.tag.max(self.virtual_time);
+            self.backlog.insert((flow.tag, key));
+            self.backlog_weight += flow.weight;
+        }
+        let previous = flow.queue.insert(sequence, ticket);
+        assert!(previous.is_none(), "sequence numbers are unique");
+        self.queued += 1;
+    }
+
+    /// Returns the next ticket in fair order.
+    pub(super) fn first(&self) -> Option<TicketKey> {
+        let (_, key) = self.backlog.first()?;
+        self.flows[*key].queue.values().next().copied()
+    }
+
+    /// Removes a queued ticket.
+    pub(super) fn remove(&mut self, key: FlowKey, sequence: u64) {
+        let flow = &mut self.flows[key];
+        let removed = flow.queue.remove(&sequence);
+        assert!(removed.is_some(), "ticket is queued in its flow");
+        self.queued -= 1;
+        if flow.queue.is_empty() {
+            let present = self.backlog.remove(&(flow.tag, key));
+            assert!(present, "a flow with a queue is in the backlog");
+            self.backlog_weight -= flow.weight;
+        }
+    }
+
+    /// Charges a request of the flow that starts to run.
+    pub(super) fn start(&mut self, key: FlowKey, expected_nanos: i128) {
+        self.virtual_time = self.virtual_time.max(self.flows[key].tag);
+        self.flows[key].running += 1;
+        self.charge(key, expected_nanos);
+    }
+
+    /// Corrects the charge of a request that ended.
+    pub(super) fn finish(&mut self, key: FlowKey, difference_nanos: i128) {
+        self.flows[key].running -= 1;
+        self.charge(key, difference_nanos);
+    }
+
+    fn charge(&mut self, key: FlowKey, nanos: i128) {
+        let flow = &mut self.flows[key];
+        let queued = !flow.queue.is_empty();
+        if queued {
+            self.backlog.remove(&(flow.tag, key));
+        }
+        flow.tag += nanos / i128::from(flow.weight);
+        if queued {
+            self.backlog.insert((flow.tag, key));
+        }
+    }
+
+    /// Returns how many requests of this level are expected to start before a
+    /// new one of the flow: its own queue, and of the others as many as their
+    /// weight allows in that time.
+    pub(super) fn ahead_of(&self, key: FlowKey) -> f64 {
+        let flow = &self.flows[key];
+        let own = flow.queue.len();
+        let own_weight = match flow.queue.is_empty() {
+            true => 0,
+            false => flow.weight,
+        };
+        let other_weight = self.backlog_weight - own_weight;
+        let others = (own + 1) as f64 * other_weight as f64 / flow.weight as f64;
+        own as f64 + others.min((self.queued - own) as f64)
+    }
+
+    /// Forgets flows without requests that are owed nothing and owe nothing.
+    pub(super) fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        let by_customer = &mut self.by_customer;
+        self.flows.retain(|_, flow| {
+            let idle = flow.queue.is_empty() && flow.running == 0;
+            let keep = !idle || flow.tag > virtual_time;
+            if !keep {
+                by_customer.remove(&flow.customer);
+            }
+            keep
+        });
+    }
+
+    pub(super) fn check(&self) {
+        let queued: usize = self.flows.values().map(|flow| flow.queue.len()).sum();
+        debug_assert_eq!(queued, self.queued);
+        let backlog = self.flows.iter().filter(|(_, flow)| !flow.queue.is_empty());
+        let weight: u64 = backlog.clone().map(|(_, flow)| flow.weight).sum();
+        debug_assert_eq!(weight, self.backlog_weight);
+        debug_assert_eq!(backlog.count(), self.backlog.len());
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,4 +4,10 @@
 //! takes the events and the current instant and returns actions; the transport
 //! layer carries them out.
 
+pub mod admission;
+pub mod adoption;
+pub mod membership;
+pub mod rendezvous;
+pub mod request_record;
+pub mod retry;
 pub mod view;
