--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,5 +4,13 @@
 //! takes the events and the current instant and returns actions; the transport
 //! layer carries them out.
 
+pub mod admission;
+pub mod adoption;
 pub mod document_diff;
+pub mod lease;
+pub mod membership;
+pub mod publish;
+pub mod rendezvous;
+pub mod request_record;
+pub mod retry;
 pub mod view;
