Add failover, repair and liveness

Change: the failover machine of a group with its fence round and its view of the members' health, the follow orders of the repair step, and the detection of silent connections.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,9 @@
 //! layer carries them out.
 
 pub mod confirm;
+pub mod failover;
+pub mod liveness;
+pub mod repair;
 pub mod routing;
 pub mod session_bound;
 pub mod view;
