--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,11 +6,18 @@
 
 pub mod admission;
 pub mod adoption;
+pub mod confirm;
 pub mod document_diff;
+pub mod failover;
 pub mod lease;
+pub mod liveness;
 pub mod membership;
 pub mod publish;
 pub mod rendezvous;
+pub mod repair;
 pub mod request_record;
 pub mod retry;
+pub mod routing;
+pub mod session_bound;
 pub mod view;
+pub mod watermark;
