--- a/crates/transport/src/seam.rs
+++ b/crates/transport/src/seam.rs
@@ -17,6 +17,9 @@
 pub enum SeamError {
     /// No answer: the call may or may not have taken effect.
     NoAnswer(String),
+    /// The connection was refused: no process listens there, and the call had
+    /// no effect.
+    Unreachable(String),
     /// The other side refused the call; it had no effect.
     Refused(ControlRefusal),
     /// The answer does not have the documented shape.
@@ -27,6 +30,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NoAnswer(reason) => write!(formatter, "no answer: {reason}"),
+            Self::Unreachable(reason) => write!(formatter, "connection refused: {reason}"),
             Self::Refused(refusal) => write!(formatter, "refused: {refusal:?}"),
             Self::BadAnswer(reason) => write!(formatter, "bad answer: {reason}"),
         }
