--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod control_client;
 pub mod group_handle;
+pub mod monitor;
 pub mod rpc;
 pub mod seam;
--- /dev/null
+++ b/crates/transport/src/monitor/task.rs
@@ -0,0 +1,446 @@
+//! The monitor's task: takes events, updates its parts and starts calls.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coordination::failover::{
+    FailoverAction, FailoverEvent, FailoverPhase, ProposerNumber, StepAnswer,
+};
+use coordination::view::GroupView;
+use protocol::member_control::{ControlRefusal, ProposerId};
+use state::clock::MonotonicClock;
+use state::keys::MemberKey;
+use tokio::sync::{mpsc, watch};
+
+use super::call::{CallKind, CallResult, CallSet, MemberResult};
+use super::confirmations::{CommitWaiter, ConfirmDesk};
+use super::failover_driver::{FailoverDriver, PhaseChange};
+use super::lease_holder::LeaseHolder;
+use super::members::MemberTable;
+use super::probe_budget::WatchedMembers;
+use super::rounds::RoundBoard;
+use super::{MonitorConfig, MonitorSeams};
+use crate::group_handle::{GroupHandle, MonitorRequest};
+use crate::seam::{ControlFactory, MemberControl, Result, SeamError, TableService};
+use state::document::FailoverTiming;
+use state::member::MemberReport;
+
+/// Requests that may wait for the monitor.
+const REQUEST_BUFFER: usize = 1_024;
+/// Events that are handled before the view is published, so that a busy group
+/// publishes once for many reports.
+const EVENT_BATCH: usize = 256;
+/// Longest wait of one long poll. A commit that takes longer is asked for again.
+const AWAIT_MAX_WAIT: Duration = Duration::from_secs(1);
+/// Shortest wait of one long poll.
+const AWAIT_MIN_WAIT: Duration = Duration::from_millis(1);
+
+/// Starts the monitor of a group. It ends when the sender of `config` is gone.
+pub fn spawn<F, T, C>(
+    seams: MonitorSeams<F, T, C>,
+    config: watch::Receiver<MonitorConfig>,
+) -> GroupHandle
+where
+    F: ControlFactory,
+    T: TableService,
+    C: MonotonicClock,
+{
+    let (requests, inbox) = mpsc::channel(REQUEST_BUFFER);
+    let monitor = GroupMonitor::new(seams, config);
+    let (publisher, views) = watch::channel(Arc::new(monitor.members.view().clone()));
+    tokio::spawn(monitor.run(inbox, publisher));
+    GroupHandle::new(views, requests)
+}
+
+struct GroupMonitor<F: ControlFactory, T, C> {
+    seams: MonitorSeams<F, T, C>,
+    config: watch::Receiver<MonitorConfig>,
+    members: MemberTable<F>,
+    watched: WatchedMembers,
+    rounds: RoundBoard,
+    confirmations: ConfirmDesk,
+    failover: FailoverDriver,
+    lease: LeaseHolder<T>,
+    calls: CallSet,
+    timing: FailoverTiming,
+    next_probe: Instant,
+    view_changed: bool,
+}
+
+impl<F, T, C> GroupMonitor<F, T, C>
+where
+    F: ControlFactory,
+    T: TableService,
+    C: MonotonicClock,
+{
+    fn new(seams: MonitorSeams<F, T, C>, mut config: watch::Receiver<MonitorConfig>) -> Self {
+        let first = config.borrow_and_update().clone();
+        let mut members = MemberTable::new(seams.factory.clone(), &first.group.name);
+        members.apply(&first);
+        let mut watched = seams.budget.watch();
+        watched.set(first.group.member.len());
+        let now = seams.clock.now();
+        let probe_base = Duration::from_millis(first.timing.probe_interval_ms);
+        let interval = seams.budget.interval(probe_base);
+        Self {
+            failover: FailoverDriver::new(members.view(), first.timing, interval, now),
+            lease: LeaseHolder::new(seams.table.clone(), &first),
+            timing: first.timing,
+            watched,
+            rounds: RoundBoard::default(),
+            confirmations: ConfirmDesk::new(members.keys()),
+            calls: CallSet::new(seams.budget.clone()),
+            next_probe: now,
+            view_changed: false,
+            members,
+            config,
+            seams,
+        }
+    }
+
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<MonitorRequest>,
+        publisher: watch::Sender<Arc<GroupView>>,
+    ) {
+        loop {
+            self.advance();
+            self.publish(&publisher);
+            let wake = tokio::time::Instant::from_std(self.next_wake());
+            tokio::select! {
+                request = inbox.recv() => match request {
+                    Some(request) => self.handle_request(request),
+                    None => return,
+                },
+                changed = self.config.changed() => match changed {
+                    Ok(()) => self.apply_config(),
+                    Err(_) => return,
+                },
+                Some(result) = self.calls.next(), if !self.calls.is_empty() => {
+                    self.handle_result(result);
+                }
+                () = tokio::time::sleep_until(wake) => {}
+            }
+            self.drain(&mut inbox);
+        }
+    }
+
+    fn drain(&mut self, inbox: &mut mpsc::Receiver<MonitorRequest>) {
+        for _ in 0..EVENT_BATCH {
+            let Some(result) = self.calls.try_next() else {
+                break;
+            };
+            self.handle_result(result);
+        }
+        for _ in 0..EVENT_BATCH {
+            let Ok(request) = inbox.try_recv() else {
+                break;
+            };
+            self.handle_request(request);
+        }
+    }
+
+    fn handle_request(&mut self, request: MonitorRequest) {
+        match request {
+            MonitorRequest::Watermark { reply } => self.rounds.request(reply),
+            MonitorRequest::Confirm {
+                position,
+                deadline,
+                reply,
+            } => {
+                let waiter = CommitWaiter {
+                    position,
+                    deadline,
+                    reply,
+                };
+                self.confirmations.add(waiter, self.seams.clock.now());
+            }
+            MonitorRequest::Suspect { member } => self.probe_at_once(member),
+        }
+    }
+
+    fn handle_result(&mut self, result: CallResult) {
+        match result {
+            CallResult::Member(result) => self.handle_member_result(result),
+            CallResult::Lease(answer) => self.drive_failover(FailoverEvent::Lease(answer)),
+            CallResult::Ignored => {}
+        }
+    }
+
+    fn handle_member_result(&mut self, result: MemberResult) {
+        let member = result.member;
+        match result.kind {
+            CallKind::Report => self.members.release_extra_probe(member),
+            CallKind::Await => {
+                let now = self.seams.clock.now();
+                let failed = result.answer.is_err();
+                self.members.release_await(member, failed, now);
+            }
+            CallKind::Fence(_) | CallKind::Promote(_) | CallKind::Follow => {}
+        }
+        match &result.answer {
+            Ok(report) => self.note_report(member, report, result.sent_at),
+            Err(SeamError::Refused(_)) => {}
+            Err(error) => {
+                log::debug!(group = self.group(), member:? = member; "control call failed: {error}");
+                self.view_changed |= self.members.note_failure(member, result.sent_at);
+            }
+        }
+        if result.kind == CallKind::Await && result.answer.is_err() {
+            self.probe_at_once(member);
+        }
+        if let Some(event) = failover_event(&result) {
+            self.drive_failover(event);
+        }
+    }
+
+    fn note_report(&mut self, member: MemberKey, report: &MemberReport, sent_at: Instant) {
+        self.view_changed |= self.members.note_report(member, report, sent_at);
+        self.confirmations.report(member, report);
+        if self.rounds.report(member, report, sent_at) {
+            self.members.set_anchors(self.rounds.anchors());
+            self.view_changed = true;
+        }
+    }
+
+    fn drive_failover(&mut self, event: FailoverEvent) {
+        let now = self.seams.clock.now();
+        let before = self.failover.phase();
+        let actions = self.failover.handle(event, now);
+        self.note_phase(before, now);
+        self.perform(actions);
+    }
+
+    fn note_phase(&mut self, before: FailoverPhase, now: Instant) {
+        let Some(change) = self.failover.phase_change(before, now) else {
+            return;
+        };
+        let PhaseChange { from, to, .. } = change;
+        log::info!(
+            group = self.group(),
+            term = self.members.view().highest_term().0;
+            "failover phase changed from {from:?} to {to:?} after {:?}",
+            change.since_suspicion
+        );
+    }
+
+    fn perform(&mut self, actions: Vec<FailoverAction>) {
+        let now = self.seams.clock.now();
+        for action in actions {
+            match action {
+                FailoverAction::Probe(member) => self.probe(member, now),
+                FailoverAction::AcquireLease => {
+                    let call = self.lease.acquire(self.seams.clock.clone());
+                    self.calls.platform(call);
+                }
+                FailoverAction::ReleaseLease => {
+                    let call = self.lease.release();
+                    self.calls.platform(call);
+                }
+                FailoverAction::Fence {
+                    member,
+                    term,
+                    proposer,
+                } => self.call(member, CallKind::Fence(term), now, move |control| async move {
+                    control.fence(term, proposer_id(proposer)).await
+                }),
+                FailoverAction::Promote {
+                    member,
+                    term,
+                    proposer,
+                } => self.call(member, CallKind::Promote(term), now, move |control| async move {
+                    control.promote(term, proposer_id(proposer)).await
+                }),
+                FailoverAction::Follow(order) => {
+                    let primary = self.members.view().members.get(order.primary);
+                    let Some(address) = primary.map(|member| member.control_address) else {
+                        continue;
+                    };
+                    self.call(order.member, CallKind::Follow, now, move |control| async move {
+                        control.follow(order.term, address).await
+                    });
+                }
+                FailoverAction::WaitUntil(_) => {}
+            }
+        }
+    }
+
+    /// Spawns a call to a member.
+    fn call<A, Fut>(&mut self, member: MemberKey, kind: CallKind, now: Instant, call: A)
+    where
+        A: FnOnce(F::Control) -> Fut,
+        Fut: std::future::Future<Output = Result<MemberReport>> + Send + 'static,
+    {
+        if let Some(control) = self.members.control(member) {
+            self.calls.member(member, kind, now, call(control));
+        }
+    }
+
+    fn group(&self) -> &str {
+        &self.members.view().name
+    }
+
+    fn apply_config(&mut self) {
+        let config = self.config.borrow_and_update().clone();
+        let now = self.seams.clock.now();
+        self.timing = config.timing;
+        self.watched.set(config.group.member.len());
+        self.view_changed = true;
+        self.lease.apply(&config);
+        if self.members.apply(&config) {
+            self.rounds.restart();
+            self.confirmations.restart(self.members.keys(), now);
+            self.restart_failover(now);
+            self.next_probe = now;
+        }
+        self.tell_leaving();
+    }
+
+    fn tell_leaving(&mut self) {
+        let members = &self.members.view().members;
+        let leaving: Vec<(MemberKey, bool)> = members
+            .iter()
+            .map(|(key, member)| (key, member.leaving))
+            .collect();
+        for (member, leaving) in leaving {
+            self.drive_failover(FailoverEvent::Leaving { member, leaving });
+        }
+    }
+
+    fn restart_failover(&mut self, now: Instant) {
+        let interval = self.probe_interval();
+        let view = self.members.view();
+        let actions = self.failover.restart(view, self.timing, interval, now);
+        self.perform(actions);
+    }
+
+    fn probe_interval(&self) -> Duration {
+        let base = Duration::from_millis(self.timing.probe_interval_ms);
+        self.seams.budget.interval(base)
+    }
+
+    /// Does what is due.
+    fn advance(&mut self) {
+        let now = self.seams.clock.now();
+        let round_timeout = Duration::from_millis(self.timing.control_timeout_ms);
+        self.confirmations.advance(now);
+        self.rounds.expire(round_timeout, now);
+        if now >= self.next_probe || self.rounds.wants_round(now) {
+            self.start_round(now);
+        }
+        self.start_awaits(now);
+        if now >= self.failover.timer() {
+            self.drive_failover(FailoverEvent::Timer);
+        }
+        if self.failover.is_outdated(&self.timing, self.probe_interval()) {
+            self.restart_failover(now);
+        }
+    }
+
+    /// Asks all members. Every such round serves the waiting requests, probes
+    /// the members and becomes an anchor.
+    fn start_round(&mut self, now: Instant) {
+        let keys = self.members.keys();
+        self.rounds.start(keys.len(), now);
+        for member in keys {
+            self.probe(member, now);
+        }
+        self.next_probe = now + self.probe_interval();
+    }
+
+    fn probe(&mut self, member: MemberKey, now: Instant) {
+        self.call(member, CallKind::Report, now, |control| async move {
+            control.report().await
+        });
+    }
+
+    /// Probes a member outside of the rounds, unless that is under way.
+    fn probe_at_once(&mut self, member: MemberKey) {
+        if self.members.claim_extra_probe(member) {
+            self.probe(member, self.seams.clock.now());
+        }
+    }
+
+    /// Sends the long polls that pending commits need, one per member.
+    fn start_awaits(&mut self, now: Instant) {
+        let Some(deadline) = self.confirmations.next_deadline() else {
+            return;
+        };
+        let wait = deadline
+            .saturating_duration_since(now)
+            .clamp(AWAIT_MIN_WAIT, AWAIT_MAX_WAIT);
+        for member in self.members.keys() {
+            let Some(position) = self.confirmations.next_await(member) else {
+                continue;
+            };
+            if !self.members.claim_await(member, now) {
+                continue;
+            }
+            self.call(member, CallKind::Await, now, move |control| async move {
+                control.await_position(position, wait).await
+            });
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        let now = self.seams.clock.now();
+        let deadline = self.confirmations.next_deadline();
+        let retry = deadline.and_then(|_| self.members.next_await_retry(now));
+        let timers = [self.rounds.next_start(), deadline, retry];
+        let first = self.next_probe.min(self.failover.timer());
+        timers.into_iter().flatten().fold(first, Instant::min)
+    }
+
+    fn publish(&mut self, publisher: &watch::Sender<Arc<GroupView>>) {
+        if std::mem::take(&mut self.view_changed) {
+            publisher.send_replace(Arc::new(self.members.view().clone()));
+        }
+    }
+}
+
+fn proposer_id(proposer: ProposerNumber) -> ProposerId {
+    ProposerId(proposer.0)
+}
+
+/// Returns what a member's answer means for the failover machine.
+fn failover_event(result: &MemberResult) -> Option<FailoverEvent> {
+    let (member, asked_at) = (result.member, result.sent_at);
+    match result.kind {
+        CallKind::Fence(term) => Some(FailoverEvent::Fence {
+            member,
+            term,
+            answer: step_answer(&result.answer),
+            asked_at,
+        }),
+        CallKind::Promote(term) => Some(FailoverEvent::Promote {
+            member,
+            term,
+            answer: step_answer(&result.answer),
+            asked_at,
+        }),
+        CallKind::Report | CallKind::Await | CallKind::Follow => match &result.answer {
+            Ok(report) => Some(FailoverEvent::Report {
+                member,
+                report: *report,
+                asked_at,
+            }),
+            Err(SeamError::Refused(_)) => None,
+            Err(error) => Some(FailoverEvent::CallFailed {
+                member,
+                asked_at,
+                refused: matches!(error, SeamError::Unreachable(_)),
+            }),
+        },
+    }
+}
+
+fn step_answer(answer: &Result<MemberReport>) -> StepAnswer {
+    match answer {
+        Ok(report) => StepAnswer::Accepted(*report),
+        Err(SeamError::Refused(ControlRefusal::StaleTerm { promised })) => {
+            StepAnswer::StaleTerm(*promised)
+        }
+        Err(SeamError::Refused(ControlRefusal::WrongProposer)) => StepAnswer::WrongProposer,
+        Err(_) => StepAnswer::NoAnswer,
+    }
+}
