--- a/crates/transport/src/monitor/task.rs
+++ b/crates/transport/src/monitor/task.rs
@@ -332,7 +332,10 @@
         if now >= self.failover.timer() {
             self.drive_failover(FailoverEvent::Timer);
         }
-        if self.failover.is_outdated(&self.timing, self.probe_interval()) {
+        if self
+            .failover
+            .is_outdated(&self.timing, self.probe_interval())
+        {
             self.restart_failover(now);
         }
     }
