--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,10 +4,18 @@
 //! takes the events and the current instant and returns actions; the transport
 //! layer carries them out.
 
+pub mod admission;
+pub mod adoption;
 pub mod confirm;
 pub mod failover;
+pub mod lease;
 pub mod liveness;
+pub mod membership;
+pub mod publish;
+pub mod rendezvous;
 pub mod repair;
+pub mod request_record;
+pub mod retry;
 pub mod routing;
 pub mod session_bound;
 pub mod view;
