--- a/crates/transport/src/monitor/task.rs
+++ b/crates/transport/src/monitor/task.rs
@@ -60,7 +60,7 @@
     rounds: RoundBoard,
     confirmations: ConfirmDesk,
     failover: FailoverDriver,
-    lease: LeaseHolder<T>,
+    lease: LeaseHolder<T, C>,
     calls: CallSet,
     timing: FailoverTiming,
     next_probe: Instant,
@@ -84,7 +84,7 @@
         let interval = seams.budget.interval(probe_base);
         Self {
             failover: FailoverDriver::new(members.view(), first.timing, interval, now),
-            lease: LeaseHolder::new(seams.table.clone(), &first),
+            lease: LeaseHolder::new(seams.table.clone(), seams.clock.clone(), &first),
             timing: first.timing,
             watched,
             rounds: RoundBoard::default(),
@@ -230,12 +230,11 @@
             match action {
                 FailoverAction::Probe(member) => self.probe(member, now),
                 FailoverAction::AcquireLease => {
-                    let call = self.lease.acquire(self.seams.clock.clone());
-                    self.calls.platform(call);
+                    let term = self.members.view().highest_term().next();
+                    self.calls.platform(self.lease.acquire(term));
                 }
                 FailoverAction::ReleaseLease => {
-                    let call = self.lease.release();
-                    self.calls.platform(call);
+                    self.calls.platform(self.lease.release());
                 }
                 FailoverAction::Fence {
                     member,
