Add the platform client, the peer service and the membership hub

Cause: the daemon needs the platform's table, objects and host list, and its peers. Change: platform speaks HTTP and JSON with a timeout and a size limit per answer; peer serves and calls protocol::peer with frame, idle, connection and call limits; document_store maps the intent document onto head row and body objects; membership_hub shares coordination::membership between tasks.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,7 +4,12 @@
 //! test without sockets could not reach.
 
 pub mod control_client;
+pub mod document_store;
 pub mod group_handle;
+pub mod host_watcher;
+pub mod membership_hub;
 pub mod monitor;
+pub mod peer;
+pub mod platform;
 pub mod rpc;
 pub mod seam;
--- /dev/null
+++ b/crates/transport/src/peer/client.rs
@@ -0,0 +1,122 @@
+//! Calls to other daemons.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use protocol::peer::{
+    CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient,
+};
+use tarpc::client::{self, NewClient};
+
+use super::{FRAME_LIMIT_BYTES, PEER_TIMEOUT};
+use crate::rpc::{frame_stream, ByteCounter, CountedStream, RpcChannel, RpcConnection, RpcOptions};
+use crate::seam::Result;
+
+/// Calls to one other daemon; the seam of the network between daemons.
+pub trait PeerClient: Clone + Send + Sync + 'static {
+    /// Exchanges digests.
+    fn exchange(&self, digest: PeerDigest) -> impl Future<Output = Result<PeerDigest>> + Send;
+    /// Returns the document in force if its version is at least `version`.
+    fn fetch_document(
+        &self,
+        version: u64,
+    ) -> impl Future<Output = Result<Option<DocumentBody>>> + Send;
+    /// Cancels the statement of a session; returns whether it was found.
+    fn cancel(&self, key: CancelKey) -> impl Future<Output = Result<bool>> + Send;
+    /// Borrows idle connections; returns how many.
+    fn borrow_connections(
+        &self,
+        member: &str,
+        count: u32,
+    ) -> impl Future<Output = Result<u32>> + Send;
+    /// Returns the daemon's state.
+    fn status(&self) -> impl Future<Output = Result<DaemonStatus>> + Send;
+}
+
+/// Creates the client of a daemon from its peer address.
+pub trait PeerFactory: Clone + Send + Sync + 'static {
+    /// The client that it creates.
+    type Client: PeerClient;
+    /// Creates a client; connects lazily.
+    fn client(&self, address: SocketAddr) -> Self::Client;
+}
+
+/// Creates [`PeerChannel`]s that share one byte counter.
+#[derive(Clone, Debug, Default)]
+pub struct PeerChannelFactory {
+    counter: ByteCounter,
+}
+
+impl PeerChannelFactory {
+    /// Builds a factory whose clients count their bytes in `counter`.
+    pub fn new(counter: ByteCounter) -> Self {
+        Self { counter }
+    }
+}
+
+impl PeerFactory for PeerChannelFactory {
+    type Client = PeerChannel;
+
+    fn client(&self, address: SocketAddr) -> PeerChannel {
+        let options = RpcOptions {
+            address,
+            timeout: PEER_TIMEOUT,
+            counter: self.counter.clone(),
+        };
+        PeerChannel {
+            channel: RpcChannel::new(options, open_connection),
+        }
+    }
+}
+
+fn open_connection(stream: CountedStream) -> RpcConnection<PeerServiceClient> {
+    let transport = frame_stream(stream, FRAME_LIMIT_BYTES);
+    let NewClient { client, dispatch } =
+        PeerServiceClient::new(client::Config::default(), transport);
+    RpcConnection::spawn(client, dispatch)
+}
+
+/// Client of one daemon over a connection that is replaced after a failure.
+#[derive(Clone, Debug)]
+pub struct PeerChannel {
+    channel: RpcChannel<PeerServiceClient>,
+}
+
+impl PeerClient for PeerChannel {
+    async fn exchange(&self, digest: PeerDigest) -> Result<PeerDigest> {
+        let call = move |client: PeerServiceClient, context| async move {
+            client.exchange(context, digest).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+
+    async fn fetch_document(&self, version: u64) -> Result<Option<DocumentBody>> {
+        let call = move |client: PeerServiceClient, context| async move {
+            client.fetch_document(context, version).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+
+    async fn cancel(&self, key: CancelKey) -> Result<bool> {
+        let call = move |client: PeerServiceClient, context| async move {
+            client.cancel(context, key).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+
+    async fn borrow_connections(&self, member: &str, count: u32) -> Result<u32> {
+        let member = member.to_owned();
+        let call = move |client: PeerServiceClient, context| async move {
+            client.borrow_connections(context, member, count).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+
+    async fn status(&self) -> Result<DaemonStatus> {
+        let call = |client: PeerServiceClient, context| async move {
+            client.status(context).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+}
--- /dev/null
+++ b/crates/transport/src/platform/body.rs
@@ -0,0 +1,21 @@
+//! Reads answers of bounded size.
+
+use reqwest::Response;
+
+use crate::seam::{Result, SeamError};
+
+/// Returns the body of a response of at most `limit` bytes.
+pub(super) async fn read_limited(mut response: Response, limit: usize) -> Result<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response
+        .chunk()
+        .await
+        .map_err(|error| super::no_answer(&error))?
+    {
+        if body.len() + chunk.len() > limit {
+            return Err(SeamError::BadAnswer(format!("more than {limit} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
