protocol: classify statements, read marks, split frames

Cause: the request path needs to know what a text does before it picks a member, and must pass answers on without decoding them. Change: classify (sqlparser tokens and syntax tree), mark (comment marks and cassia variables), frame (splitting by header, encoding of own frames). Conclusion: the session loop can be built on it.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,9 @@
 //!
 //! Borders: encodes, decodes and classifies; opens no sockets.
 
+pub mod classify;
+pub mod frame;
+pub mod mark;
 pub mod member_control;
 pub mod peer;
 pub mod result_code;
