--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,4 +4,11 @@
 //! takes the events and the current instant and returns actions; the transport
 //! layer carries them out.
 
+pub mod confirm;
+pub mod failover;
+pub mod liveness;
+pub mod repair;
+pub mod routing;
+pub mod session_bound;
 pub mod view;
+pub mod watermark;
