--- a/crates/transport/src/peer/client.rs
+++ b/crates/transport/src/peer/client.rs
@@ -4,9 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use protocol::peer::{
-    CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient,
-};
+use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient};
 use tarpc::client::{self, NewClient};
 
 use super::{FRAME_LIMIT_BYTES, PEER_TIMEOUT};
@@ -114,9 +112,7 @@
     }
 
     async fn status(&self) -> Result<DaemonStatus> {
-        let call = |client: PeerServiceClient, context| async move {
-            client.status(context).await
-        };
+        let call = |client: PeerServiceClient, context| async move { client.status(context).await };
         self.channel.call(Duration::ZERO, call).await
     }
 }
