--- /dev/null
+++ b/crates/cassiactl/src/settings.rs
@@ -0,0 +1,75 @@
+//! Settings of the operator's tool.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use serde::Deserialize;
+use state::check::{CheckProblem, ProblemList};
+use state::settings::{PlatformSettings, UserCredential};
+
+/// Default port of the console.
+const CONSOLE_PORT: u16 = 7600;
+
+/// Result of parsing settings.
+pub type Result<T> = std::result::Result<T, Vec<CheckProblem>>;
+
+/// The settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct OperatorSettings {
+    /// The platform's service.
+    pub platform: PlatformSettings,
+    /// Peer address of any daemon, asked for the status.
+    pub daemon: Option<SocketAddr>,
+    /// The console.
+    #[serde(default)]
+    pub console: ConsoleSettings,
+}
+
+/// Settings of the console.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case", default)]
+pub struct ConsoleSettings {
+    /// Address to listen on; loopback unless set otherwise.
+    pub address: SocketAddr,
+    /// Operators that may sign in.
+    pub operator: Vec<UserCredential>,
+}
+
+impl Default for ConsoleSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, CONSOLE_PORT)),
+            operator: Vec::new(),
+        }
+    }
+}
+
+impl OperatorSettings {
+    /// Parses and validates settings.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Self = toml::from_str(text).map_err(|error| {
+            vec![CheckProblem::new(
+                "settings",
+                error.to_string().trim_end(),
+                "TOML settings of the documented shape",
+            )]
+        })?;
+        let mut list = ProblemList::default();
+        list.require_range(
+            "platform.timeout_ms",
+            settings.platform.timeout_ms,
+            10,
+            60_000,
+        );
+        for (index, operator) in settings.console.operator.iter().enumerate() {
+            if operator.user.is_empty() || operator.password.is_empty() {
+                list.push(
+                    &format!("console.operator[{index}]"),
+                    "an empty user or password",
+                    "a user and a password",
+                );
+            }
+        }
+        list.finish(settings)
+    }
+}
--- a/crates/coordination/src/document_diff.rs
+++ b/crates/coordination/src/document_diff.rs
@@ -86,16 +86,35 @@
     theirs: &IntentDocument,
 ) -> Result<IntentDocument> {
     let mut conflicts = Vec::new();
+    let merged = merge_documents(base, ours, theirs, &mut conflicts)?;
+    if !conflicts.is_empty() {
+        return Err(MergeError::Conflicts(conflicts));
+    }
+    Ok(merged)
+}
+
+/// As [`merge`], but a key that both sides changed keeps the value of `theirs`.
+pub fn merge_preferring_theirs(
+    base: &IntentDocument,
+    ours: &IntentDocument,
+    theirs: &IntentDocument,
+) -> Result<IntentDocument> {
+    merge_documents(base, ours, theirs, &mut Vec::new())
+}
+
+fn merge_documents(
+    base: &IntentDocument,
+    ours: &IntentDocument,
+    theirs: &IntentDocument,
+    conflicts: &mut Vec<MergeConflict>,
+) -> Result<IntentDocument> {
     let merged = merge_value(
         "",
         Some(&to_value(base)),
         Some(&to_value(ours)),
         Some(&to_value(theirs)),
-        &mut conflicts,
+        conflicts,
     );
-    if !conflicts.is_empty() {
-        return Err(MergeError::Conflicts(conflicts));
-    }
     serde_json::from_value(merged.unwrap_or_default())
         .map_err(|error| MergeError::BadShape(error.to_string()))
 }
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -16,7 +16,7 @@
 pub type Result<T> = std::result::Result<T, Vec<CheckProblem>>;
 
 /// The whole document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct IntentDocument {
     /// Deadlines of statements and confirmations.
