--- /dev/null
+++ b/crates/standin/src/backend/member.rs
@@ -0,0 +1,523 @@
+//! The state of a member: its promises, its log and what reads see.
+//!
+//! One lock guards all of it, so that every reading is atomic and no commit
+//! slips past a fence.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use protocol::member_control::{ControlAnswer, ControlRefusal, ProposerId};
+use state::log::{LogPosition, Term};
+use state::member::{MemberReport, MemberRole};
+use tokio::sync::watch;
+
+use super::disk::{DiskLog, MemberPromise, SavedState};
+use super::entry::{common_length, term_ends, LogEntry};
+use super::replication::{PullAnswer, PullBatch, PullRequest};
+use super::settings::BackendSettings;
+use super::store::{open_writer, CommittedStore, WriteTransaction, WriterConnection};
+
+/// Entries in one answer to a pull.
+const BATCH_ENTRIES: usize = 256;
+
+/// Why a commit failed: the member is not the primary of the term at which the
+/// transaction began. Nothing was committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotPrimary;
+
+/// The primary that a replica pulls from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowTarget {
+    /// Term of the primary.
+    pub term: Term,
+    /// Its control address.
+    pub primary: SocketAddr,
+}
+
+/// The shared state of one member.
+#[derive(Debug)]
+pub struct GroupMemberState {
+    inner: Mutex<MemberData>,
+    changes: watch::Sender<u64>,
+    targets: watch::Sender<Option<FollowTarget>>,
+    closings: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct MemberData {
+    promise: MemberPromise,
+    heard_at: Option<Instant>,
+    log: Vec<StoredEntry>,
+    /// Last position of each term in the log.
+    ends: Vec<LogPosition>,
+    /// Number of entries that reads see. INVARIANT: at most `log.len()`.
+    applied: usize,
+    store: Arc<CommittedStore>,
+    /// Present while the role is primary.
+    writer: Option<WriterConnection>,
+    disk: Option<DiskLog>,
+    receive_lag: Duration,
+    apply_lag: Duration,
+}
+
+#[derive(Debug)]
+struct StoredEntry {
+    entry: Arc<LogEntry>,
+    stored_at: Instant,
+}
+
+impl GroupMemberState {
+    /// Opens the state of a member: saved state if there is any, else the
+    /// start of a new group.
+    pub fn open(settings: &BackendSettings) -> io::Result<Arc<Self>> {
+        let (disk, saved) = match &settings.data_dir {
+            Some(directory) => {
+                let (disk, saved) = DiskLog::open(directory)?;
+                (Some(disk), saved)
+            }
+            None => (None, SavedState::default()),
+        };
+        let is_new = saved.promise.is_none();
+        let mut data = MemberData::restore(saved, disk, settings);
+        if is_new {
+            data.start_group(settings);
+        }
+        let target = data.follow_target();
+        Ok(Arc::new(Self {
+            inner: Mutex::new(data),
+            changes: watch::Sender::new(0),
+            targets: watch::Sender::new(target),
+            closings: watch::Sender::new(0),
+        }))
+    }
+
+    /// Returns one atomic reading.
+    pub fn report(&self) -> MemberReport {
+        self.lock().report()
+    }
+
+    /// Fences the member at `term`.
+    pub fn fence(&self, term: Term, proposer: ProposerId) -> ControlAnswer {
+        let mut data = self.lock();
+        let promise = data.promise;
+        let is_repeat = term == promise.term && promise.granted == Some(proposer);
+        if is_repeat {
+            return Ok(data.report());
+        }
+        if term == promise.term && promise.granted.is_some() {
+            return Err(ControlRefusal::WrongProposer);
+        }
+        if term <= promise.term {
+            return Err(ControlRefusal::StaleTerm {
+                promised: promise.term,
+            });
+        }
+        self.step_down(
+            &mut data,
+            MemberPromise {
+                term,
+                granted: Some(proposer),
+                role: MemberRole::Replica,
+                following: None,
+            },
+        );
+        Ok(data.report())
+    }
+
+    /// Promotes the member at the term that was granted to `proposer`.
+    pub fn promote(&self, term: Term, proposer: ProposerId) -> ControlAnswer {
+        let mut data = self.lock();
+        let promise = data.promise;
+        if term < promise.term {
+            return Err(ControlRefusal::StaleTerm {
+                promised: promise.term,
+            });
+        }
+        let is_granted = term == promise.term && promise.granted == Some(proposer);
+        // A member that already follows another primary of the term must not
+        // become a second one.
+        if !is_granted || promise.following.is_some() {
+            return Err(ControlRefusal::WrongProposer);
+        }
+        if promise.role == MemberRole::Primary {
+            return Ok(data.report());
+        }
+        data.become_primary();
+        self.notify(&data);
+        Ok(data.report())
+    }
+
+    /// Lets the member follow the primary of `term`.
+    pub fn follow(&self, term: Term, primary: SocketAddr) -> ControlAnswer {
+        let mut data = self.lock();
+        let promise = data.promise;
+        let is_own_term = term == promise.term && promise.role == MemberRole::Primary;
+        if term < promise.term || is_own_term {
+            return Err(ControlRefusal::StaleTerm {
+                promised: promise.term,
+            });
+        }
+        if term == promise.term && promise.following == Some(primary) {
+            return Ok(data.report());
+        }
+        let granted = promise.granted.filter(|_| term == promise.term);
+        self.step_down(
+            &mut data,
+            MemberPromise {
+                term,
+                granted,
+                role: MemberRole::Replica,
+                following: Some(primary),
+            },
+        );
+        Ok(data.report())
+    }
+
+    /// Commits a write transaction that began at `term`.
+    pub fn commit(
+        &self,
+        term: Term,
+        mut transaction: WriteTransaction,
+    ) -> std::result::Result<(), NotPrimary> {
+        let statements = transaction.take_statements();
+        if statements.is_empty() {
+            return Ok(());
+        }
+        let mut data = self.lock();
+        if data.promise.term != term || data.promise.role != MemberRole::Primary {
+            return Err(NotPrimary);
+        }
+        // INVARIANT: The entry is durable and the writer has committed before
+        // the lock is released, so a fence sees the whole commit or nothing.
+        data.append(statements);
+        transaction
+            .commit()
+            .expect("in-memory commits do not fail under the write lock");
+        data.apply_all();
+        self.notify(&data);
+        Ok(())
+    }
+
+    /// Returns the writer and the term of a primary.
+    pub fn writer(&self) -> std::result::Result<(Term, WriterConnection), NotPrimary> {
+        let data = self.lock();
+        let writer = data.writer.clone().ok_or(NotPrimary)?;
+        Ok((data.promise.term, writer))
+    }
+
+    /// Returns the store that reads use.
+    pub fn store(&self) -> Arc<CommittedStore> {
+        self.lock().store.clone()
+    }
+
+    /// Answers a pull if there is something to answer; otherwise returns the
+    /// instant at which a lagging entry becomes due, if there is one.
+    pub fn answer_pull(
+        &self,
+        request: &PullRequest,
+        now: Instant,
+    ) -> std::result::Result<PullAnswer, Option<Instant>> {
+        let data = self.lock();
+        if data.promise.role != MemberRole::Primary || data.promise.term != request.term {
+            return Ok(PullAnswer::Refused {
+                promised: data.promise.term,
+            });
+        }
+        let common = common_length(&data.ends, &request.ends);
+        let rest = &data.log[common as usize..];
+        let is_due = |stored: &&StoredEntry| stored.stored_at + request.lag <= now;
+        let entries: Vec<LogEntry> = rest
+            .iter()
+            .take(BATCH_ENTRIES)
+            .take_while(is_due)
+            .map(|stored| LogEntry::clone(&stored.entry))
+            .collect();
+        if entries.is_empty() {
+            return Err(rest.first().map(|stored| stored.stored_at + request.lag));
+        }
+        Ok(PullAnswer::Batch(PullBatch { common, entries }))
+    }
+
+    /// Builds the pull of a replica, or nothing if `target` is out of date.
+    pub fn pull_request(&self, target: FollowTarget, max_wait: Duration) -> Option<PullRequest> {
+        let data = self.lock();
+        if data.follow_target() != Some(target) {
+            return None;
+        }
+        Some(PullRequest {
+            term: target.term,
+            ends: data.ends.clone(),
+            lag: data.receive_lag,
+            max_wait,
+        })
+    }
+
+    /// Takes over the answer to a pull from `target`. Answers of a primary that
+    /// the member no longer follows have no effect.
+    pub fn accept_batch(&self, target: FollowTarget, batch: PullBatch) {
+        let mut data = self.lock();
+        if data.follow_target() != Some(target) {
+            return;
+        }
+        data.heard_at = Some(Instant::now());
+        if batch.entries.is_empty() {
+            return;
+        }
+        data.receive(batch);
+        self.notify(&data);
+    }
+
+    /// Applies the entries that are due and returns the next due instant.
+    pub fn apply_due(&self, now: Instant) -> Option<Instant> {
+        let mut data = self.lock();
+        let before = data.applied;
+        let next = data.apply_due(now);
+        if data.applied != before {
+            self.notify(&data);
+        }
+        next
+    }
+
+    /// Subscribes to changes of the log, the promise or the applied position.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Subscribes to the primary that is followed.
+    pub fn targets(&self) -> watch::Receiver<Option<FollowTarget>> {
+        self.targets.subscribe()
+    }
+
+    /// Subscribes to the closing of all statement connections.
+    pub fn closings(&self) -> watch::Receiver<u64> {
+        self.closings.subscribe()
+    }
+
+    /// Closes all statement connections.
+    pub fn close_connections(&self) {
+        self.closings.send_modify(|count| *count += 1);
+    }
+
+    /// Sets the receive lag.
+    pub fn set_receive_lag(&self, lag: Duration) {
+        self.lock().receive_lag = lag;
+    }
+
+    /// Sets the apply lag.
+    pub fn set_apply_lag(&self, lag: Duration) {
+        let mut data = self.lock();
+        data.apply_lag = lag;
+        self.notify(&data);
+    }
+
+    fn step_down(&self, data: &mut MemberData, promise: MemberPromise) {
+        let was_primary = data.promise.role == MemberRole::Primary;
+        data.set_promise(promise);
+        data.writer = None;
+        data.heard_at = None;
+        if was_primary {
+            self.close_connections();
+        }
+        self.notify(data);
+    }
+
+    fn notify(&self, data: &MemberData) {
+        let target = data.follow_target();
+        self.targets.send_if_modified(|current| {
+            let is_changed = *current != target;
+            *current = target;
+            is_changed
+        });
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemberData> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl MemberData {
+    fn restore(saved: SavedState, disk: Option<DiskLog>, settings: &BackendSettings) -> Self {
+        let store = CommittedStore::new();
+        let stored_at = Instant::now();
+        let log: Vec<StoredEntry> = saved
+            .log
+            .into_iter()
+            .map(|entry| StoredEntry {
+                entry: Arc::new(entry),
+                stored_at,
+            })
+            .collect();
+        let mut data = Self {
+            promise: saved.promise.unwrap_or(MemberPromise {
+                term: Term(0),
+                granted: None,
+                role: MemberRole::Replica,
+                following: None,
+            }),
+            heard_at: None,
+            ends: term_ends(log.iter().map(|stored| stored.entry.position)),
+            log,
+            applied: 0,
+            store,
+            writer: None,
+            disk,
+            receive_lag: settings.lag,
+            apply_lag: settings.apply_lag,
+        };
+        data.apply_all();
+        if data.promise.role == MemberRole::Primary {
+            data.writer = Some(open_writer(&data.store));
+        }
+        data
+    }
+
+    /// Sets up a member of a new group at term 1.
+    fn start_group(&mut self, settings: &BackendSettings) {
+        let first = MemberPromise {
+            term: Term(1),
+            granted: None,
+            role: MemberRole::Replica,
+            following: settings.follow,
+        };
+        if settings.bootstrap_primary {
+            self.promise = MemberPromise {
+                following: None,
+                ..first
+            };
+            self.become_primary();
+        } else if settings.follow.is_some() {
+            self.set_promise(first);
+        }
+    }
+
+    fn report(&self) -> MemberReport {
+        let heard = match self.promise.role {
+            MemberRole::Primary => Some(Duration::ZERO),
+            MemberRole::Replica => self.heard_at.map(|instant| instant.elapsed()),
+        };
+        let report = MemberReport {
+            promised_term: self.promise.term,
+            role: self.promise.role,
+            log: self.position_at(self.log.len()),
+            applied: self.position_at(self.applied),
+            primary_heard: heard,
+        };
+        debug_assert!(report.is_consistent());
+        report
+    }
+
+    fn follow_target(&self) -> Option<FollowTarget> {
+        Some(FollowTarget {
+            term: self.promise.term,
+            primary: self.promise.following?,
+        })
+    }
+
+    fn position_at(&self, length: usize) -> LogPosition {
+        match length.checked_sub(1) {
+            Some(index) => self.log[index].entry.position,
+            None => LogPosition::START,
+        }
+    }
+
+    fn set_promise(&mut self, promise: MemberPromise) {
+        if let Some(disk) = &mut self.disk {
+            disk.write_promise(&promise);
+        }
+        self.promise = promise;
+    }
+
+    fn become_primary(&mut self) {
+        // INVARIANT: The first entry of a term is the promotion's own, so a
+        // position at the term contains every accepted entry of lower terms.
+        // The entry is written before the role, so no restart can find a
+        // primary without it.
+        self.append(Vec::new());
+        self.set_promise(MemberPromise {
+            role: MemberRole::Primary,
+            ..self.promise
+        });
+        self.apply_all();
+        self.writer = Some(open_writer(&self.store));
+    }
+
+    fn append(&mut self, statements: Vec<super::entry::LoggedStatement>) {
+        let position = LogPosition {
+            term: self.promise.term,
+            offset: self.log.len() as u64 + 1,
+        };
+        self.push(LogEntry {
+            position,
+            statements,
+        });
+    }
+
+    fn push(&mut self, entry: LogEntry) {
+        if let Some(disk) = &mut self.disk {
+            disk.write_entry(&entry);
+        }
+        match self.ends.last_mut() {
+            Some(end) if end.term == entry.position.term => *end = entry.position,
+            _ => self.ends.push(entry.position),
+        }
+        self.log.push(StoredEntry {
+            entry: Arc::new(entry),
+            stored_at: Instant::now(),
+        });
+    }
+
+    /// Takes over a batch: drops what the primary does not have, then appends.
+    fn receive(&mut self, batch: PullBatch) {
+        let common = batch.common as usize;
+        let diverged = common < self.log.len();
+        if diverged {
+            self.truncate(common);
+        }
+        for entry in batch.entries {
+            self.push(entry);
+        }
+        if self.applied <= common {
+            self.apply_due(Instant::now());
+            return;
+        }
+        // Reads saw entries that are dropped now. The new state is built aside
+        // with everything received, so the applied position does not fall
+        // below what the primary has confirmed.
+        self.store = CommittedStore::new();
+        self.applied = 0;
+        self.apply_all();
+    }
+
+    fn truncate(&mut self, length: usize) {
+        if let Some(disk) = &mut self.disk {
+            disk.write_truncate(length);
+        }
+        self.log.truncate(length);
+        self.ends = term_ends(self.log.iter().map(|stored| stored.entry.position));
+    }
+
+    fn apply_due(&mut self, now: Instant) -> Option<Instant> {
+        while let Some(stored) = self.log.get(self.applied) {
+            let due = stored.stored_at + self.apply_lag;
+            if due > now {
+                return Some(due);
+            }
+            self.apply_through(self.applied + 1);
+        }
+        None
+    }
+
+    fn apply_all(&mut self) {
+        self.apply_through(self.log.len());
+    }
+
+    fn apply_through(&mut self, length: usize) {
+        for stored in &self.log[self.applied..length] {
+            self.store.apply(&stored.entry);
+        }
+        self.applied = length;
+    }
+}
