coordination: add the distribution plan for document versions

Cause: a version must be in force on 2,800 daemons within 9 s while a daemon spends at most 5 KB/s, and the store must not be read by all at once.

Change: spread decides pushes, exchanges, fetches and reads of the store.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod rendezvous;
 pub mod request_record;
 pub mod retry;
+pub mod spread;
 pub mod view;
