--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod retry;
 pub mod routing;
 pub mod session_bound;
+pub mod shares;
 pub mod spread;
 pub mod view;
 pub mod watermark;
