Add the document follower, metrics and the log

Cause: a daemon must learn and pass on document versions and show what it does. Change: document_follower carries out adoption and spread in one task; metrics has a registry per daemon and an HTTP endpoint; logging writes JSON lines; ControlMeter counts bytes and run time of control tasks.

--- a/crates/transport/src/control_client.rs
+++ b/crates/transport/src/control_client.rs
@@ -9,22 +9,22 @@
 use state::member::MemberReport;
 use tarpc::client::{self, NewClient};
 
-use crate::rpc::{frame_stream, ByteCounter, CountedStream, RpcChannel, RpcConnection, RpcOptions};
+use crate::rpc::{frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions};
 use crate::seam::{ControlFactory, MemberControl, Result, SeamError};
 
 /// Largest message of member control; reports take about 100 bytes.
 const FRAME_LIMIT_BYTES: usize = 4_096;
 
-/// Creates [`MemberClient`]s that share one byte counter.
+/// Creates [`MemberClient`]s that share one meter.
 #[derive(Clone, Debug, Default)]
 pub struct MemberClientFactory {
-    counter: ByteCounter,
+    meter: ControlMeter,
 }
 
 impl MemberClientFactory {
-    /// Builds a factory whose clients count their bytes in `counter`.
-    pub fn new(counter: ByteCounter) -> Self {
-        Self { counter }
+    /// Builds a factory whose clients count their bytes in `meter`.
+    pub fn new(meter: ControlMeter) -> Self {
+        Self { meter }
     }
 }
 
@@ -35,7 +35,7 @@
         let options = RpcOptions {
             address,
             timeout,
-            counter: self.counter.clone(),
+            meter: self.meter.clone(),
         };
         MemberClient {
             channel: RpcChannel::new(options, open_connection),
@@ -43,11 +43,12 @@
     }
 }
 
-fn open_connection(stream: CountedStream) -> RpcConnection<MemberControlServiceClient> {
+fn open_connection(stream: MeteredStream) -> RpcConnection<MemberControlServiceClient> {
+    let meter = stream.meter().clone();
     let transport = frame_stream(stream, FRAME_LIMIT_BYTES);
     let NewClient { client, dispatch } =
         MemberControlServiceClient::new(client::Config::default(), transport);
-    RpcConnection::spawn(client, dispatch)
+    RpcConnection::spawn(client, dispatch, meter)
 }
 
 /// Control of one member over a connection that is replaced after a failure.
--- /dev/null
+++ b/crates/transport/src/document_follower/task.rs
@@ -0,0 +1,448 @@
+//! The follower's task.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coordination::adoption::{
+    DocumentAdoption, DocumentStamp, OfferDecision, ServingRight, StoreAnswer,
+};
+use coordination::publish::HeadRow;
+use coordination::spread::{PeerGroup, SpreadAction, SpreadPlan, SpreadTargets};
+use protocol::peer::{DocumentBody, PeerDigest};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use state::clock::MonotonicClock;
+use state::document::IntentDocument;
+use tokio::task::JoinSet;
+
+use super::clients::ClientCache;
+use super::{AdoptedDocument, FollowerEvent, FollowerPorts, FollowerSeams};
+use crate::document_store::{self, stamp_of, version_of};
+use crate::membership_hub::LivePeers;
+use crate::peer::{PeerClient, PeerFactory};
+use crate::seam::{ObjectStore, Result, SeamError, TableService};
+
+/// Interval at which a starting daemon asks the store and the seeds again.
+const START_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the readers ahead in order are watched, and at which
+/// expired statements of peers are dropped.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Peers of the own data centre that a leaving daemon tells at once; the others
+/// learn it from their own exchanges and from the list of hosts.
+const ANNOUNCE_LIMIT: usize = 32;
+
+/// Follows the document until the returned future is dropped.
+pub async fn follow_documents<T, O, P, C>(seams: FollowerSeams<T, O, P, C>, ports: FollowerPorts)
+where
+    T: TableService,
+    O: ObjectStore,
+    P: PeerFactory,
+    C: MonotonicClock,
+{
+    DocumentFollower::new(seams, ports).run().await;
+}
+
+/// Where a version can be fetched.
+#[derive(Clone, Debug)]
+enum BodySource<K> {
+    /// In the object of this stamp.
+    Store(DocumentStamp),
+    /// At a peer.
+    Peer(K),
+}
+
+/// A peer that was called.
+#[derive(Clone, Debug)]
+enum PeerName {
+    /// A host of the document.
+    Host(String),
+    /// An address of the settings.
+    Seed(SocketAddr),
+}
+
+/// Result of a spawned call.
+enum FollowerResult<K> {
+    Head(Result<HeadRow>),
+    Body {
+        version: u64,
+        from_peer: bool,
+        answer: Result<DocumentBody>,
+    },
+    Exchanged {
+        peer: PeerName,
+        client: K,
+        answer: Result<PeerDigest>,
+    },
+}
+
+struct DocumentFollower<T, O, P: PeerFactory, C> {
+    seams: FollowerSeams<T, O, P, C>,
+    ports: FollowerPorts,
+    clients: ClientCache<P>,
+    adoption: DocumentAdoption,
+    plan: SpreadPlan,
+    rng: StdRng,
+    calls: JoinSet<FollowerResult<P::Client>>,
+    reading_head: bool,
+    /// Newest version that this program cannot use.
+    rejected: Option<DocumentStamp>,
+    answered_seeds: BTreeSet<SocketAddr>,
+    start_at: Instant,
+    watch_at: Instant,
+}
+
+impl<T, O, P, C> DocumentFollower<T, O, P, C>
+where
+    T: TableService,
+    O: ObjectStore,
+    P: PeerFactory,
+    C: MonotonicClock,
+{
+    fn new(seams: FollowerSeams<T, O, P, C>, ports: FollowerPorts) -> Self {
+        let now = seams.clock.now();
+        let mut rng = StdRng::from_os_rng();
+        Self {
+            clients: ClientCache::new(seams.peers.clone()),
+            adoption: DocumentAdoption::new(seams.seeds.len(), now),
+            plan: SpreadPlan::new(now, &mut rng),
+            rng,
+            calls: JoinSet::new(),
+            reading_head: false,
+            rejected: None,
+            answered_seeds: BTreeSet::new(),
+            start_at: now,
+            watch_at: now + WATCH_INTERVAL,
+            seams,
+            ports,
+        }
+    }
+
+    async fn run(mut self) {
+        loop {
+            self.advance();
+            let wake = tokio::time::Instant::from_std(self.next_wake());
+            tokio::select! {
+                event = self.ports.events.recv() => match event {
+                    Some(FollowerEvent::Heard(digest)) => self.hear(&digest),
+                    Some(FollowerEvent::AnnounceLeaving) => self.announce_leaving(),
+                    None => return,
+                },
+                Some(result) = self.calls.join_next(), if !self.calls.is_empty() => {
+                    match result {
+                        Ok(result) => self.handle_result(result),
+                        Err(error) => std::panic::resume_unwind(error.into_panic()),
+                    }
+                }
+                () = tokio::time::sleep_until(wake) => {}
+            }
+        }
+    }
+
+    fn is_serving(&self) -> bool {
+        *self.ports.serving.borrow()
+    }
+
+    fn next_wake(&self) -> Instant {
+        let wake = self.plan.next_due().min(self.watch_at);
+        match self.is_serving() {
+            true => wake,
+            false => wake.min(self.start_at),
+        }
+    }
+
+    fn advance(&mut self) {
+        let now = self.seams.clock.now();
+        let serves = self.adoption.serving_right(now) == ServingRight::Serve;
+        if serves && !self.is_serving() {
+            log::info!("document version {} is in force; serving callers", self.adoption.version());
+            self.ports.serving.send_replace(true);
+        }
+        if !self.is_serving() && now >= self.start_at {
+            self.start_at = now + START_INTERVAL;
+            self.ask_at_start();
+        }
+        let peers = self.seams.hub.live_peers(now);
+        for action in self.plan.due(&spread_targets(&peers), &mut self.rng, now) {
+            match action {
+                SpreadAction::ReadStore => self.read_head(),
+                SpreadAction::Exchange { host } => self.exchange_with(&host),
+                SpreadAction::Fetch { host, version } => self.fetch_from_host(&host, version),
+            }
+        }
+        if now >= self.watch_at {
+            self.watch_at = now + WATCH_INTERVAL;
+            self.seams.hub.refresh(now);
+            for host in &peers.watched {
+                self.exchange_with(host);
+            }
+        }
+    }
+
+    fn ask_at_start(&mut self) {
+        self.read_head();
+        for seed in self.seams.seeds.clone() {
+            if self.answered_seeds.contains(&seed) {
+                continue;
+            }
+            let client = self.clients.client(seed);
+            self.exchange(PeerName::Seed(seed), client);
+        }
+    }
+
+    fn read_head(&mut self) {
+        if std::mem::replace(&mut self.reading_head, true) {
+            return;
+        }
+        let table = self.seams.table.clone();
+        self.calls
+            .spawn(async move { FollowerResult::Head(document_store::read_head(&table).await) });
+    }
+
+    fn exchange_with(&mut self, host: &str) {
+        if let Some(client) = self.client_of(host) {
+            self.exchange(PeerName::Host(host.to_owned()), client);
+        }
+    }
+
+    fn exchange(&mut self, peer: PeerName, client: P::Client) {
+        let digest = self.seams.digest.current();
+        self.calls.spawn(async move {
+            let answer = client.exchange(digest).await;
+            FollowerResult::Exchanged {
+                peer,
+                client,
+                answer,
+            }
+        });
+    }
+
+    /// Returns the client of a host of the document in force.
+    fn client_of(&mut self, host: &str) -> Option<P::Client> {
+        let adopted = self.ports.documents.borrow().clone()?;
+        let hosts = &adopted.document.entry_host;
+        let entry = hosts.iter().find(|entry| entry.name == host)?;
+        Some(self.clients.client(entry.peer_address))
+    }
+
+    fn hear(&mut self, digest: &PeerDigest) {
+        self.seams.hub.apply_digest(digest, self.seams.clock.now());
+        self.consider_host(&digest.host, &stamp_of(&digest.document));
+    }
+
+    /// Fetches the version of a host of the document if it is newer.
+    fn consider_host(&mut self, host: &str, stamp: &DocumentStamp) {
+        if !self.is_newer(stamp) {
+            return;
+        }
+        let now = self.seams.clock.now();
+        if let Some(SpreadAction::Fetch { host, version }) =
+            self.plan.heard(stamp.version, host, now)
+        {
+            self.fetch_from_host(&host, version);
+        }
+    }
+
+    fn fetch_from_host(&mut self, host: &str, version: u64) {
+        match self.client_of(host) {
+            Some(client) => self.fetch(version, BodySource::Peer(client)),
+            // The host is not in the document in force; another one will tell
+            // of the version too.
+            None => self.plan.fetch_ended(),
+        }
+    }
+
+    fn announce_leaving(&mut self) {
+        let peers = self.seams.hub.live_peers(self.seams.clock.now());
+        let own = peers.own.choose_multiple(&mut self.rng, ANNOUNCE_LIMIT);
+        let mut hosts: Vec<String> = own.cloned().collect();
+        for (_, others) in &peers.others {
+            hosts.extend(others.choose(&mut self.rng).cloned());
+        }
+        for host in hosts {
+            self.exchange_with(&host);
+        }
+    }
+
+    fn handle_result(&mut self, result: FollowerResult<P::Client>) {
+        match result {
+            FollowerResult::Head(answer) => self.handle_head(answer),
+            FollowerResult::Body {
+                version,
+                from_peer,
+                answer,
+            } => self.handle_body(version, from_peer, answer),
+            FollowerResult::Exchanged {
+                peer,
+                client,
+                answer,
+            } => self.handle_exchange(&peer, client, answer),
+        }
+    }
+
+    fn handle_head(&mut self, answer: Result<HeadRow>) {
+        let now = self.seams.clock.now();
+        self.reading_head = false;
+        self.plan.read_ended(answer.is_ok(), &mut self.rng, now);
+        let stamp = match answer {
+            Ok(row) => row.value.map(|value| value.stamp),
+            Err(error) => {
+                log::debug!("the head of the document cannot be read: {error}");
+                return self.adoption.store_answered(&StoreAnswer::Failed);
+            }
+        };
+        let Some(stamp) = stamp else {
+            return self.adoption.store_answered(&StoreAnswer::NoDocument);
+        };
+        self.adoption.store_answered(&StoreAnswer::Head(stamp.clone()));
+        if self.is_newer(&stamp) {
+            self.fetch(stamp.version, BodySource::Store(stamp));
+        }
+    }
+
+    fn handle_exchange(&mut self, peer: &PeerName, client: P::Client, answer: Result<PeerDigest>) {
+        let now = self.seams.clock.now();
+        let digest = match answer {
+            Ok(digest) => digest,
+            Err(error) => {
+                if let PeerName::Host(host) = peer {
+                    self.seams.hub.note_failure(host, &error, now);
+                    self.plan.exchange_failed(now);
+                }
+                return;
+            }
+        };
+        self.seams.hub.apply_digest(&digest, now);
+        let stamp = stamp_of(&digest.document);
+        match peer {
+            PeerName::Host(_) => self.consider_host(&digest.host, &stamp),
+            PeerName::Seed(seed) => self.consider_seed(*seed, stamp, client),
+        }
+    }
+
+    /// Before the first document, peers are known by address only. A seed
+    /// without a document has not learned one yet; it is asked again.
+    fn consider_seed(&mut self, seed: SocketAddr, stamp: DocumentStamp, client: P::Client) {
+        if stamp.version > 0 && self.answered_seeds.insert(seed) {
+            self.adoption.peer_answered(Some(&stamp));
+        }
+        if self.is_newer(&stamp) {
+            self.fetch(stamp.version, BodySource::Peer(client));
+        }
+    }
+
+    /// Tells whether an offered version is worth fetching.
+    fn is_newer(&self, stamp: &DocumentStamp) -> bool {
+        if stamp.version == 0 || self.rejected.as_ref() == Some(stamp) {
+            return false;
+        }
+        match self.adoption.judge(stamp) {
+            OfferDecision::Fetch => true,
+            OfferDecision::InForce | OfferDecision::Older => false,
+            OfferDecision::DigestFault { in_force } => {
+                log::error!(
+                    "version {} was offered with digest {}, but digest {} is in force",
+                    stamp.version, stamp.digest, in_force.digest
+                );
+                false
+            }
+        }
+    }
+
+    fn fetch(&mut self, version: u64, source: BodySource<P::Client>) {
+        let objects = self.seams.objects.clone();
+        self.calls.spawn(async move {
+            let (from_peer, answer) = match source {
+                BodySource::Store(stamp) => {
+                    (false, document_store::read_body(&objects, &stamp).await)
+                }
+                BodySource::Peer(client) => (true, fetch_from_peer(&client, version).await),
+            };
+            FollowerResult::Body {
+                version,
+                from_peer,
+                answer,
+            }
+        });
+    }
+
+    fn handle_body(&mut self, version: u64, from_peer: bool, answer: Result<DocumentBody>) {
+        match answer {
+            Ok(body) => self.adopt(body),
+            Err(error) => log::warn!("version {version} of the document: {error}"),
+        }
+        if from_peer {
+            self.plan.fetch_ended();
+        }
+    }
+
+    fn adopt(&mut self, body: DocumentBody) {
+        let stamp = stamp_of(&body.version);
+        let document = match IntentDocument::parse(&body.text) {
+            Ok(document) => document,
+            Err(problems) => {
+                // A version that a newer console accepted may have keys that
+                // this program does not know; the one in force stays.
+                for problem in problems {
+                    log::error!("version {} of the document: {problem}", stamp.version);
+                }
+                self.rejected = Some(stamp);
+                self.plan.fetch_abandoned();
+                return;
+            }
+        };
+        if self.adoption.adopt(stamp.clone()) != OfferDecision::Fetch {
+            return;
+        }
+        let now = self.seams.clock.now();
+        log::info!("document version {} adopted", stamp.version);
+        self.seams.digest.set_document(version_of(&stamp));
+        self.seams.hub.apply_document(&document, now);
+        let version = stamp.version;
+        let adopted = AdoptedDocument {
+            stamp,
+            text: body.text,
+            document,
+        };
+        self.publish(Arc::new(adopted));
+        let peers = self.seams.hub.live_peers(now);
+        let targets = spread_targets(&peers);
+        for host in self.plan.learned(version, &targets, &mut self.rng) {
+            self.exchange_with(host);
+        }
+    }
+
+    fn publish(&mut self, adopted: Arc<AdoptedDocument>) {
+        let known = self.ports.documents.borrow().as_ref().map(|known| known.stamp.version);
+        // INVARIANT: the version in force only rises.
+        assert!(known < Some(adopted.stamp.version), "version in force fell");
+        self.ports.documents.send_replace(Some(adopted));
+    }
+}
+
+async fn fetch_from_peer<K: PeerClient>(client: &K, version: u64) -> Result<DocumentBody> {
+    let body = client.fetch_document(version).await?;
+    let body =
+        body.ok_or_else(|| SeamError::BadAnswer(format!("the peer has no version {version}")))?;
+    document_store::check_body(body)
+}
+
+fn spread_targets(peers: &LivePeers) -> SpreadTargets<'_> {
+    SpreadTargets {
+        own: PeerGroup {
+            data_centre: "",
+            hosts: peers.own.iter().map(String::as_str).collect(),
+        },
+        others: peers
+            .others
+            .iter()
+            .map(|(centre, hosts)| PeerGroup {
+                data_centre: centre,
+                hosts: hosts.iter().map(String::as_str).collect(),
+            })
+            .collect(),
+        reader: peers.reader,
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,10 +4,13 @@
 //! test without sockets could not reach.
 
 pub mod control_client;
+pub mod document_follower;
 pub mod document_store;
 pub mod group_handle;
 pub mod host_watcher;
+pub mod logging;
 pub mod membership_hub;
+pub mod metrics;
 pub mod monitor;
 pub mod peer;
 pub mod platform;
--- a/crates/transport/src/monitor/call.rs
+++ b/crates/transport/src/monitor/call.rs
@@ -68,12 +68,13 @@
         A: Future<Output = Result<MemberReport>> + Send + 'static,
     {
         self.budget.note_call();
+        let meter = self.budget.meter().clone();
         self.tasks.spawn(async move {
             CallResult::Member(MemberResult {
                 member,
                 kind,
                 sent_at: now,
-                answer: call.await,
+                answer: meter.run(call).await,
             })
         });
     }
--- a/crates/transport/src/monitor/config.rs
+++ b/crates/transport/src/monitor/config.rs
@@ -1,10 +1,12 @@
 //! What a monitor is told about its group, and the seams that it uses.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use state::document::{DatabaseGroup, FailoverTiming, IntentDocument};
 
 use super::ProbeBudget;
+use crate::metrics::DaemonMetrics;
 
 /// The part of the intent document that concerns one group, with the backend
 /// servers that the platform lists as leaving.
@@ -55,6 +57,8 @@
     pub table: T,
     /// Clock.
     pub clock: C,
+    /// Counts failovers.
+    pub metrics: Arc<DaemonMetrics>,
     /// Bounds the bytes of all monitors' probes together.
     pub budget: ProbeBudget,
 }
--- a/crates/transport/src/monitor/failover_driver.rs
+++ b/crates/transport/src/monitor/failover_driver.rs
@@ -8,6 +8,7 @@
 };
 use coordination::view::GroupView;
 use state::document::FailoverTiming;
+use state::log::Term;
 
 /// Probe intervals that must fit into `suspect_after`, so that one lost probe
 /// raises no suspicion when the probe budget stretches the interval.
@@ -20,8 +21,16 @@
     timing: FailoverTiming,
     interval: Duration,
     timer: Instant,
-    /// Start of the disturbance that is under way.
-    disturbed_at: Option<Instant>,
+    /// The suspicion that is being dealt with.
+    disturbance: Option<Disturbance>,
+}
+
+/// A suspicion, from the first doubt until the primary serves again.
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    since: Instant,
+    /// Highest term known at its start.
+    term: Term,
 }
 
 /// A change of phase, for the log and the metrics.
@@ -31,6 +40,9 @@
     pub to: FailoverPhase,
     /// Time since the primary was first suspected.
     pub since_suspicion: Duration,
+    /// Whether it ends a failover: the primary serves at a higher term,
+    /// whichever daemon promoted it.
+    pub is_failover: bool,
 }
 
 impl FailoverDriver {
@@ -49,7 +61,7 @@
             timing,
             interval,
             timer: now,
-            disturbed_at: None,
+            disturbance: None,
         }
     }
 
@@ -62,9 +74,9 @@
         interval: Duration,
         now: Instant,
     ) -> Vec<FailoverAction> {
-        let disturbed_at = self.disturbed_at;
+        let disturbance = self.disturbance;
         *self = Self::new(view, timing, interval, now);
-        self.disturbed_at = disturbed_at;
+        self.disturbance = disturbance;
         let mut actions = Vec::new();
         for (member, known) in &view.members {
             if let (Some(report), Some(asked_at)) = (known.report, known.reported_at) {
@@ -112,24 +124,30 @@
         self.machine.phase()
     }
 
-    /// Returns what changed since the phase was `before`.
+    /// Returns what changed since the phase was `before`; `term` is the highest
+    /// term of the view.
     pub(super) fn phase_change(
         &mut self,
         before: FailoverPhase,
+        term: Term,
         now: Instant,
     ) -> Option<PhaseChange> {
         let phase = self.machine.phase();
         if phase == before {
             return None;
         }
-        let started = *self.disturbed_at.get_or_insert(now);
-        if phase == FailoverPhase::Steady {
-            self.disturbed_at = None;
+        let fresh = Disturbance { since: now, term };
+        let disturbance = *self.disturbance.get_or_insert(fresh);
+        let is_over = phase == FailoverPhase::Steady;
+        if is_over {
+            self.disturbance = None;
         }
         Some(PhaseChange {
             from: before,
             to: phase,
-            since_suspicion: now.saturating_duration_since(started),
+            since_suspicion: now.saturating_duration_since(disturbance.since),
+            // A group that is seen for the first time has term 0.
+            is_failover: is_over && term > disturbance.term && disturbance.term > Term::default(),
         })
     }
 
--- a/crates/transport/src/monitor/probe_budget.rs
+++ b/crates/transport/src/monitor/probe_budget.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use crate::rpc::ByteCounter;
+use crate::rpc::ControlMeter;
 
 /// Bytes of probes that a daemon sends and receives, over all watched members.
 /// A daemon has 5 KB/s for all control work.
@@ -23,7 +23,7 @@
 
 #[derive(Debug)]
 struct SharedBudget {
-    counter: ByteCounter,
+    meter: ControlMeter,
     members: AtomicU64,
     call_bytes: AtomicU64,
     sample: Mutex<CallSample>,
@@ -43,11 +43,11 @@
 }
 
 impl ProbeBudget {
-    /// Builds a budget for calls whose bytes `counter` counts.
-    pub fn new(counter: ByteCounter) -> Self {
+    /// Builds a budget for calls whose bytes `meter` counts.
+    pub fn new(meter: ControlMeter) -> Self {
         Self {
             shared: Arc::new(SharedBudget {
-                counter,
+                meter,
                 members: AtomicU64::new(0),
                 call_bytes: AtomicU64::new(ASSUMED_CALL_BYTES),
                 sample: Mutex::new(CallSample::default()),
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the meter of the daemon's control work.
+    pub fn meter(&self) -> &ControlMeter {
+        &self.shared.meter
+    }
+
     /// Registers a monitor.
     pub fn watch(&self) -> WatchedMembers {
         WatchedMembers {
@@ -74,7 +79,7 @@
         if sample.calls < SAMPLE_CALLS {
             return;
         }
-        let total = self.shared.counter.total();
+        let total = self.shared.meter.bytes();
         let mean = (total - sample.bytes_before) / sample.calls;
         // Calls to unreachable members cost nothing; they must not make the
         // budget look larger than it is once the members return.
--- a/crates/transport/src/monitor/task.rs
+++ b/crates/transport/src/monitor/task.rs
@@ -46,9 +46,10 @@
     C: MonotonicClock,
 {
     let (requests, inbox) = mpsc::channel(REQUEST_BUFFER);
+    let meter = seams.budget.meter().clone();
     let monitor = GroupMonitor::new(seams, config);
     let (publisher, views) = watch::channel(Arc::new(monitor.members.view().clone()));
-    tokio::spawn(monitor.run(inbox, publisher));
+    tokio::spawn(async move { meter.run(monitor.run(inbox, publisher)).await });
     GroupHandle::new(views, requests)
 }
 
@@ -212,13 +213,18 @@
     }
 
     fn note_phase(&mut self, before: FailoverPhase, now: Instant) {
-        let Some(change) = self.failover.phase_change(before, now) else {
+        let term = self.members.view().highest_term();
+        let Some(change) = self.failover.phase_change(before, term, now) else {
             return;
         };
         let PhaseChange { from, to, .. } = change;
+        if change.is_failover {
+            let metrics = &self.seams.metrics;
+            metrics.count_failover(self.group(), change.since_suspicion);
+        }
         log::info!(
             group = self.group(),
-            term = self.members.view().highest_term().0;
+            term = term.0;
             "failover phase changed from {from:?} to {to:?} after {:?}",
             change.since_suspicion
         );
--- a/crates/transport/src/peer/client.rs
+++ b/crates/transport/src/peer/client.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coordination::spread::PEER_CALL_TIMEOUT;
 use protocol::peer::{
     CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient,
 };
 use tarpc::client::{self, NewClient};
 
-use super::{FRAME_LIMIT_BYTES, PEER_TIMEOUT};
-use crate::rpc::{frame_stream, ByteCounter, CountedStream, RpcChannel, RpcConnection, RpcOptions};
+use super::FRAME_LIMIT_BYTES;
+use crate::rpc::{frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions};
 use crate::seam::Result;
 
 /// Calls to one other daemon; the seam of the network between daemons.
@@ -42,16 +43,16 @@
     fn client(&self, address: SocketAddr) -> Self::Client;
 }
 
-/// Creates [`PeerChannel`]s that share one byte counter.
+/// Creates [`PeerChannel`]s that share one meter.
 #[derive(Clone, Debug, Default)]
 pub struct PeerChannelFactory {
-    counter: ByteCounter,
+    meter: ControlMeter,
 }
 
 impl PeerChannelFactory {
-    /// Builds a factory whose clients count their bytes in `counter`.
-    pub fn new(counter: ByteCounter) -> Self {
-        Self { counter }
+    /// Builds a factory whose clients count their bytes in `meter`.
+    pub fn new(meter: ControlMeter) -> Self {
+        Self { meter }
     }
 }
 
@@ -61,8 +62,8 @@
     fn client(&self, address: SocketAddr) -> PeerChannel {
         let options = RpcOptions {
             address,
-            timeout: PEER_TIMEOUT,
-            counter: self.counter.clone(),
+            timeout: PEER_CALL_TIMEOUT,
+            meter: self.meter.clone(),
         };
         PeerChannel {
             channel: RpcChannel::new(options, open_connection),
@@ -70,11 +71,12 @@
     }
 }
 
-fn open_connection(stream: CountedStream) -> RpcConnection<PeerServiceClient> {
+fn open_connection(stream: MeteredStream) -> RpcConnection<PeerServiceClient> {
+    let meter = stream.meter().clone();
     let transport = frame_stream(stream, FRAME_LIMIT_BYTES);
     let NewClient { client, dispatch } =
         PeerServiceClient::new(client::Config::default(), transport);
-    RpcConnection::spawn(client, dispatch)
+    RpcConnection::spawn(client, dispatch, meter)
 }
 
 /// Client of one daemon over a connection that is replaced after a failure.
--- a/crates/transport/src/peer/server.rs
+++ b/crates/transport/src/peer/server.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 
 use super::FRAME_LIMIT_BYTES;
-use crate::rpc::{frame_stream, ByteCounter, CountedStream};
+use crate::rpc::{frame_stream, ControlMeter, MeteredStream};
 
 /// Connections from other daemons that are served at the same time: all
 /// 2,800 daemons of the target size, and operators' tools.
@@ -75,7 +75,7 @@
 pub async fn serve_peers<H: PeerHandler>(
     listener: TcpListener,
     handler: Arc<H>,
-    counter: ByteCounter,
+    meter: ControlMeter,
 ) {
     let permits = Arc::new(Semaphore::new(CONNECTION_LIMIT));
     let mut connections = JoinSet::new();
@@ -94,9 +94,9 @@
             continue;
         };
         let server = PeerServer(handler.clone());
-        let counter = counter.clone();
+        let meter = meter.clone();
         connections.spawn(async move {
-            serve_connection(stream, server, counter).await;
+            serve_connection(stream, server, meter).await;
             drop(permit);
         });
     }
@@ -105,10 +105,10 @@
 async fn serve_connection<H: PeerHandler>(
     stream: TcpStream,
     server: PeerServer<H>,
-    counter: ByteCounter,
+    meter: ControlMeter,
 ) {
     let _ = stream.set_nodelay(true);
-    let transport = frame_stream(CountedStream::new(stream, counter), FRAME_LIMIT_BYTES);
+    let transport = frame_stream(MeteredStream::new(stream, meter.clone()), FRAME_LIMIT_BYTES);
     let channel = BaseChannel::with_defaults(transport);
     let mut requests = Box::pin(channel.requests());
     let mut calls = JoinSet::new();
@@ -119,7 +119,8 @@
         }
         match tokio::time::timeout(IDLE_LIMIT, requests.next()).await {
             Ok(Some(Ok(request))) => {
-                calls.spawn(request.execute(server.clone().serve()));
+                let (meter, call) = (meter.clone(), request.execute(server.clone().serve()));
+                calls.spawn(async move { meter.run(call).await });
             }
             Ok(Some(Err(error))) => {
                 log::debug!("peer connection ended: {error}");
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -2,10 +2,10 @@
 //!
 //! Both services of the project use it: member control and the peer service.
 
-mod byte_counter;
+mod meter;
 mod channel;
 
-pub use byte_counter::{ByteCounter, CountedStream};
+pub use meter::{ControlMeter, MeteredStream};
 pub use channel::{RpcChannel, RpcConnection, RpcOptions};
 
 use serde::{Deserialize, Serialize};
@@ -15,12 +15,12 @@
 
 /// Transport of one connection that receives `Item` and sends `SinkItem`.
 pub type RpcTransport<Item, SinkItem> =
-    Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+    Transport<MeteredStream, Item, SinkItem, Bincode<Item, SinkItem>>;
 
 /// Frames a connection. A frame above `frame_limit` bytes ends it, so that a
 /// faulty sender cannot make this process allocate without bound.
 pub fn frame_stream<Item, SinkItem>(
-    stream: CountedStream,
+    stream: MeteredStream,
     frame_limit: usize,
 ) -> RpcTransport<Item, SinkItem>
 where
--- a/crates/transport/src/rpc/channel.rs
+++ b/crates/transport/src/rpc/channel.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Mutex;
 use tokio::task::AbortHandle;
 
-use super::{ByteCounter, CountedStream};
+use super::{ControlMeter, MeteredStream};
 use crate::seam::{Result, SeamError};
 
 /// How to reach a service.
@@ -22,8 +22,8 @@
     pub address: SocketAddr,
     /// Time that a call may take beyond the time that its own wait takes.
     pub timeout: Duration,
-    /// Counts the bytes of the connection.
-    pub counter: ByteCounter,
+    /// Counts the cost of the connection.
+    pub meter: ControlMeter,
 }
 
 /// An open connection: the `tarpc` client and the task that serves it.
@@ -35,12 +35,12 @@
 
 impl<C> RpcConnection<C> {
     /// Spawns the dispatch task of a client.
-    pub fn spawn<D>(client: C, dispatch: D) -> Self
+    pub fn spawn<D>(client: C, dispatch: D, meter: ControlMeter) -> Self
     where
         D: Future + Send + 'static,
         D::Output: Send,
     {
-        let dispatch = tokio::spawn(dispatch).abort_handle();
+        let dispatch = tokio::spawn(async move { meter.run(dispatch).await }).abort_handle();
         Self { client, dispatch }
     }
 }
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct RpcChannel<C> {
     options: RpcOptions,
-    open: fn(CountedStream) -> RpcConnection<C>,
+    open: fn(MeteredStream) -> RpcConnection<C>,
     slot: Arc<Mutex<ChannelSlot<C>>>,
 }
 
@@ -81,7 +81,7 @@
 
 impl<C: Clone> RpcChannel<C> {
     /// Builds a channel; connects at the first call.
-    pub fn new(options: RpcOptions, open: fn(CountedStream) -> RpcConnection<C>) -> Self {
+    pub fn new(options: RpcOptions, open: fn(MeteredStream) -> RpcConnection<C>) -> Self {
         let slot = ChannelSlot {
             connection: None,
             generation: 0,
@@ -126,7 +126,7 @@
             .await
             .map_err(connect_error)?;
         stream.set_nodelay(true).map_err(connect_error)?;
-        let counted = CountedStream::new(stream, self.options.counter.clone());
+        let counted = MeteredStream::new(stream, self.options.meter.clone());
         let connection = (self.open)(counted);
         let client = connection.client.clone();
         slot.connection = Some(connection);
--- a/crates/transport/tests/monitor.rs
+++ b/crates/transport/tests/monitor.rs
@@ -4,6 +4,7 @@
 #[path = "support/fake_group.rs"]
 mod fake_group;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fake_group::{FakeFactory, FakeGroup, FakeTable, MemberFault, TableFault};
@@ -14,7 +15,8 @@
 use tokio::sync::watch;
 use transport::group_handle::{ConfirmOutcome, GroupHandle};
 use transport::monitor::{self, MonitorConfig, MonitorSeams, ProbeBudget};
-use transport::rpc::ByteCounter;
+use transport::metrics::DaemonMetrics;
+use transport::rpc::ControlMeter;
 
 /// Timing of most tests: the defaults with shorter intervals.
 const TIMING: FailoverTiming = FailoverTiming {
@@ -34,7 +36,8 @@
         factory: FakeFactory(group.clone()),
         table,
         clock: SystemClock,
-        budget: ProbeBudget::new(ByteCounter::default()),
+        metrics: Arc::new(DaemonMetrics::new()),
+        budget: ProbeBudget::new(ControlMeter::default()),
     };
     (config, monitor::spawn(seams, updates))
 }
@@ -328,7 +331,7 @@
 /// Guards against probes that outgrow the control budget as members are added.
 #[gtest]
 fn the_probe_interval_stretches_with_the_members() {
-    let budget = ProbeBudget::new(ByteCounter::default());
+    let budget = ProbeBudget::new(ControlMeter::default());
     let base = Duration::from_millis(250);
     let mut few = budget.watch();
     few.set(3);
