--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod retry;
 pub mod routing;
 pub mod session_bound;
+pub mod spread;
 pub mod view;
 pub mod watermark;
