--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod peer;
 pub mod platform;
 pub mod rpc;
+pub mod runtime;
 pub mod seam;
--- a/crates/transport/src/membership_hub.rs
+++ b/crates/transport/src/membership_hub.rs
@@ -1,14 +1,14 @@
 //! The membership table of one daemon, shared by the tasks that feed it and
 //! those that use it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use coordination::membership::{
     HostObservation, KnownHost, ListedHost, MembershipState, MembershipTable, PeerStatement,
 };
-use protocol::peer::PeerDigest;
+use protocol::peer::{PeerDigest, PeerStatus};
 use state::document::IntentDocument;
 use tokio::sync::watch;
 
@@ -33,6 +33,14 @@
     table: MembershipTable,
     /// Names of the document's backend servers.
     servers: Vec<String>,
+    /// Last digest of each known peer.
+    digests: BTreeMap<String, HeardDigest>,
+}
+
+#[derive(Debug)]
+struct HeardDigest {
+    digest: PeerDigest,
+    heard_at: Instant,
 }
 
 /// Live peers by data centre, as owned names.
@@ -54,6 +62,7 @@
         let table = NamedTable {
             table: MembershipTable::new(own_host),
             servers: Vec::new(),
+            digests: BTreeMap::new(),
         };
         Self {
             shared: Arc::new(SharedMembership {
@@ -87,6 +96,8 @@
         let mut table = self.lock();
         table.table.apply_document(&known);
         table.servers = members.map(|member| member.name.clone()).collect();
+        let is_entry = |name: &String| document.entry_host.iter().any(|host| host.name == *name);
+        table.digests.retain(|name, _| is_entry(name));
         drop(table);
         self.refresh(now);
     }
@@ -112,7 +123,18 @@
             leaving: digest.leaving,
             leaving_servers: &digest.leaving_servers,
         };
-        self.lock().table.apply_statement(&statement, now);
+        let mut table = self.lock();
+        table.table.apply_statement(&statement, now);
+        // A host that the document does not name is not kept, so that faulty
+        // digests cannot fill the memory.
+        if table.table.state(&digest.host, now) != MembershipState::Absent {
+            let heard = HeardDigest {
+                digest: digest.clone(),
+                heard_at: now,
+            };
+            table.digests.insert(digest.host.clone(), heard);
+        }
+        drop(table);
         self.refresh(now);
     }
 
@@ -146,6 +168,16 @@
         self.lock().table.leaving_servers()
     }
 
+    /// Returns the last digest of each peer with its age.
+    pub fn peers(&self, now: Instant) -> Vec<PeerStatus> {
+        let table = self.lock();
+        let status = |heard: &HeardDigest| PeerStatus {
+            digest: heard.digest.clone(),
+            age_ms: now.saturating_duration_since(heard.heard_at).as_millis() as u64,
+        };
+        table.digests.values().map(status).collect()
+    }
+
     /// Returns the state of a host.
     pub fn state(&self, name: &str, now: Instant) -> MembershipState {
         self.lock().table.state(name, now)
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -8,45 +8,23 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntGauge, Registry, TextEncoder,
 };
-use protocol::result_code::ResultCode;
 
 use crate::rpc::ControlMeter;
 
 pub use endpoint::serve_metrics;
 
-/// Upper limits of the latency buckets in seconds: from 0.1 ms, as measured on
-/// loopback, up to the default statement deadline of 10 s.
-const LATENCY_BUCKETS: [f64; 16] = [
-    0.000_1, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
-    10.0,
-];
 /// Upper limits of the failover buckets in seconds, around the targets of 2 s
 /// and 8 s.
 const FAILOVER_BUCKETS: [f64; 9] = [0.25, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0, 16.0, 60.0];
 
-/// Where a read was served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadPlace {
-    /// At a replica.
-    Replica,
-    /// At the primary.
-    Primary,
-}
-
 /// The metrics of one daemon.
 #[derive(Debug)]
 pub struct DaemonMetrics {
     registry: Registry,
-    statement_seconds: HistogramVec,
-    reads: IntCounterVec,
-    queue_depth: IntGaugeVec,
-    refusals: IntCounterVec,
     failover_seconds: HistogramVec,
     document_version: IntGauge,
-    callers: IntGauge,
     control_bytes: IntCounter,
     control_seconds: Gauge,
     meter: ControlMeter,
@@ -72,26 +50,6 @@
     fn register(meter: ControlMeter) -> prometheus::Result<Self> {
         let metrics = Self {
             registry: Registry::new(),
-            statement_seconds: HistogramVec::new(
-                HistogramOpts::new(
-                    "cassia_statement_seconds",
-                    "Time from a statement's arrival to its answer.",
-                )
-                .buckets(LATENCY_BUCKETS.to_vec()),
-                &["customer", "class"],
-            )?,
-            reads: IntCounterVec::new(
-                Opts::new("cassia_reads_total", "Reads by where they were served."),
-                &["place"],
-            )?,
-            queue_depth: IntGaugeVec::new(
-                Opts::new("cassia_queue_depth", "Statements that wait for a slot."),
-                &["customer", "class"],
-            )?,
-            refusals: IntCounterVec::new(
-                Opts::new("cassia_refusals_total", "Refusals by result code."),
-                &["code"],
-            )?,
             failover_seconds: HistogramVec::new(
                 HistogramOpts::new(
                     "cassia_failover_seconds",
@@ -104,7 +62,6 @@
                 "cassia_document_version",
                 "Version of the intent document in force.",
             )?,
-            callers: IntGauge::new("cassia_callers", "Caller connections.")?,
             control_bytes: IntCounter::new(
                 "cassia_control_bytes_total",
                 "Payload bytes of control connections, both directions.",
@@ -121,46 +78,15 @@
 
     fn register_all(&self) -> prometheus::Result<()> {
         let registry = &self.registry;
-        registry.register(Box::new(self.statement_seconds.clone()))?;
-        registry.register(Box::new(self.reads.clone()))?;
-        registry.register(Box::new(self.queue_depth.clone()))?;
-        registry.register(Box::new(self.refusals.clone()))?;
         registry.register(Box::new(self.failover_seconds.clone()))?;
         registry.register(Box::new(self.document_version.clone()))?;
-        registry.register(Box::new(self.callers.clone()))?;
         registry.register(Box::new(self.control_bytes.clone()))?;
         registry.register(Box::new(self.control_seconds.clone()))
     }
 
-    /// Returns the latency histogram of a customer and class. The request path
-    /// keeps it, so that it need not look it up for each statement.
-    pub fn statement_histogram(&self, customer: &str, class: &str) -> Histogram {
-        self.statement_seconds.with_label_values(&[customer, class])
-    }
-
-    /// Returns the counter of reads that were served at a place.
-    pub fn read_counter(&self, place: ReadPlace) -> IntCounter {
-        let place = match place {
-            ReadPlace::Replica => "replica",
-            ReadPlace::Primary => "primary",
-        };
-        self.reads.with_label_values(&[place])
-    }
-
-    /// Returns the queue gauge of a customer and class.
-    pub fn queue_gauge(&self, customer: &str, class: &str) -> IntGauge {
-        self.queue_depth.with_label_values(&[customer, class])
-    }
-
-    /// Returns the gauge of caller connections.
-    pub fn caller_gauge(&self) -> IntGauge {
-        self.callers.clone()
-    }
-
-    /// Counts a refusal.
-    pub fn count_refusal(&self, code: ResultCode) {
-        let code = code.number().to_string();
-        self.refusals.with_label_values(&[code.as_str()]).inc();
+    /// Returns the registry, for the metrics of other parts of the daemon.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
     }
 
     /// Counts a failover as this daemon saw it.
--- /dev/null
+++ b/crates/transport/src/runtime/groups.rs
@@ -0,0 +1,103 @@
+//! The monitors of the document's groups.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use state::clock::MonotonicClock;
+use tokio::sync::watch;
+
+use crate::document_follower::AdoptedDocument;
+use crate::group_handle::GroupHandle;
+use crate::monitor::{self, MonitorConfig, MonitorSeams};
+use crate::seam::{ControlFactory, TableService};
+
+/// The running monitors; its clones share them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct GroupTable {
+    groups: Arc<Mutex<BTreeMap<String, RunningGroup>>>,
+}
+
+#[derive(Debug)]
+struct RunningGroup {
+    /// Dropping it ends the monitor.
+    config: watch::Sender<MonitorConfig>,
+    handle: GroupHandle,
+}
+
+impl GroupTable {
+    /// Returns the handle of a group.
+    pub(super) fn find(&self, name: &str) -> Option<GroupHandle> {
+        self.lock().get(name).map(|group| group.handle.clone())
+    }
+
+    /// Returns all handles.
+    pub(super) fn handles(&self) -> Vec<GroupHandle> {
+        let groups = self.lock();
+        groups.values().map(|group| group.handle.clone()).collect()
+    }
+
+    /// Starts, changes and ends monitors so that they match a document. The
+    /// monitor of an unchanged group is not touched.
+    fn apply<F, T, C>(
+        &self,
+        host: &str,
+        adopted: &AdoptedDocument,
+        leaving: &BTreeSet<String>,
+        seams: &MonitorSeams<F, T, C>,
+    ) where
+        F: ControlFactory,
+        T: TableService,
+        C: MonotonicClock,
+    {
+        let document = &adopted.document;
+        let mut groups = self.lock();
+        groups.retain(|name, _| document.find_group(name).is_some());
+        for group in &document.group {
+            let config = MonitorConfig::new(host, document, group, leaving);
+            if let Some(running) = groups.get(&group.name) {
+                running.config.send_if_modified(|known| {
+                    let differs = *known != config;
+                    *known = config;
+                    differs
+                });
+                continue;
+            }
+            let (sender, updates) = watch::channel(config);
+            let running = RunningGroup {
+                config: sender,
+                handle: monitor::spawn(seams.clone(), updates),
+            };
+            groups.insert(group.name.clone(), running);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, RunningGroup>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps the monitors in step with the document and the leaving servers.
+pub(super) async fn follow_groups<F, T, C>(
+    table: GroupTable,
+    host: String,
+    seams: MonitorSeams<F, T, C>,
+    mut documents: watch::Receiver<Option<Arc<AdoptedDocument>>>,
+    mut leaving: watch::Receiver<BTreeSet<String>>,
+) where
+    F: ControlFactory,
+    T: TableService,
+    C: MonotonicClock,
+{
+    loop {
+        let adopted = documents.borrow_and_update().clone();
+        let names = leaving.borrow_and_update().clone();
+        if let Some(adopted) = adopted {
+            seams.metrics.set_document_version(adopted.stamp.version);
+            table.apply(&host, &adopted, &names, &seams);
+        }
+        tokio::select! {
+            changed = documents.changed() => if changed.is_err() { return },
+            changed = leaving.changed() => if changed.is_err() { return },
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/runtime/peer_handler.rs
@@ -0,0 +1,66 @@
+//! What a daemon does for its peers.
+
+use std::time::Instant;
+
+use coordination::view::GroupView;
+use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, GroupStatus, PeerDigest};
+
+use super::groups::GroupTable;
+use crate::document_follower::FollowerHandle;
+use crate::document_store::version_of;
+use crate::membership_hub::MembershipHub;
+use crate::peer::{OwnDigest, PeerHandler};
+
+/// Answers the calls of other daemons.
+#[derive(Debug)]
+pub(super) struct DaemonPeer {
+    pub(super) digest: OwnDigest,
+    pub(super) follower: FollowerHandle,
+    pub(super) hub: MembershipHub,
+    pub(super) groups: GroupTable,
+}
+
+impl PeerHandler for DaemonPeer {
+    fn exchange(&self, digest: PeerDigest) -> PeerDigest {
+        self.follower.heard(digest);
+        self.digest.current()
+    }
+
+    fn document(&self, version: u64) -> Option<DocumentBody> {
+        let adopted = self.follower.current()?;
+        (adopted.stamp.version >= version).then(|| DocumentBody {
+            version: version_of(&adopted.stamp),
+            text: adopted.text.clone(),
+        })
+    }
+
+    async fn cancel(&self, _key: CancelKey) -> bool {
+        false
+    }
+
+    async fn lend_connections(&self, _member: &str, _count: u32) -> u32 {
+        0
+    }
+
+    fn status(&self) -> DaemonStatus {
+        let handles = self.groups.handles();
+        DaemonStatus {
+            digest: self.digest.current(),
+            groups: handles.iter().map(|handle| group_status(&handle.view())).collect(),
+            peers: self.hub.peers(Instant::now()),
+            callers: 0,
+        }
+    }
+}
+
+fn group_status(view: &GroupView) -> GroupStatus {
+    let primary = view.primary().and_then(|key| view.members.get(key));
+    let reachable = view.members.values().filter(|member| member.reachable);
+    GroupStatus {
+        group: view.name.clone(),
+        term: view.highest_term().0,
+        primary: primary.map(|member| member.name.clone()),
+        reachable: reachable.count() as u32,
+        members: view.members.len() as u32,
+    }
+}
