--- a/crates/cassiactl/src/console/page.rs
+++ b/crates/cassiactl/src/console/page.rs
@@ -310,8 +310,10 @@
         }
         @if ready { (action_form("/accept", "Accept as a new version", form_token)) }
         (action_form("/discard", "Discard the draft", form_token))
-        h2 { "Difference as TOML" }
-        pre { (toml_difference(content.before, content.after)) }
+        @if content.problems.is_empty() {
+            h2 { "Difference as TOML" }
+            pre { (toml_difference(content.before, content.after)) }
+        }
     }
 }
 
--- a/crates/cassiactl/src/console/routes.rs
+++ b/crates/cassiactl/src/console/routes.rs
@@ -8,7 +8,9 @@
 use axum::response::{IntoResponse, Redirect, Response};
 use axum::routing::{get, post};
 use axum::Router;
-use coordination::document_diff::{difference, merge, merge_preferring_theirs, MergeError};
+use coordination::document_diff::{
+    difference, merge, merge_preferring_theirs, value_difference, DocumentChange, MergeError,
+};
 use maud::{html, Markup};
 use protocol::peer::DocumentVersion;
 use serde_json::Value;
@@ -205,6 +207,10 @@
     }
 }
 
+fn draft_changes(draft: &DocumentDraft) -> Vec<DocumentChange> {
+    value_difference(&draft_value(&draft.base), &draft.value)
+}
+
 fn draft_value(document: &IntentDocument) -> Value {
     serde_json::to_value(document).expect("a document of plain fields converts to JSON")
 }
@@ -271,10 +277,7 @@
 ) -> Result<Response> {
     let session = context.signed_in(&headers)?;
     let draft = context.draft_of(&session).await?;
-    let changes = match read_draft(&draft.value) {
-        Ok(document) => difference(&draft.base, &document).len(),
-        Err(_) => 0,
-    };
+    let changes = draft_changes(&draft).len();
     let problems = read_draft(&draft.value).err().unwrap_or_default();
     let content = html! {
         (page::overview(&draft.value, draft.base_version.version, changes))
@@ -341,7 +344,7 @@
         Err(MergeError::BadShape(_)) | Ok(_) => Vec::new(),
     };
     let content = ReviewContent {
-        changes: &difference(&draft.base, &after),
+        changes: &draft_changes(draft),
         others: &difference(&draft.base, &head.document),
         conflicts: &conflicts,
         problems: &problems,
--- a/crates/coordination/src/document_diff.rs
+++ b/crates/coordination/src/document_diff.rs
@@ -58,8 +58,14 @@
 
 /// Lists the differences from `before` to `after`, in order of their paths.
 pub fn difference(before: &IntentDocument, after: &IntentDocument) -> Vec<DocumentChange> {
-    let before = flatten(&to_value(before));
-    let after = flatten(&to_value(after));
+    value_difference(&to_value(before), &to_value(after))
+}
+
+/// As [`difference`], for JSON values of the document's shape, such as a draft
+/// that is not valid yet.
+pub fn value_difference(before: &Value, after: &Value) -> Vec<DocumentChange> {
+    let before = flatten(before);
+    let after = flatten(after);
     let mut changes = Vec::new();
     for (path, old) in &before {
         let new = after.get(path);
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -126,11 +126,13 @@
 }
 
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|error| StartError {
-        key,
-        address,
-        reason: error.to_string(),
-    })
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError {
+            key,
+            address,
+            reason: error.to_string(),
+        })
 }
 
 impl DaemonListeners {
@@ -181,7 +183,12 @@
         let interval = Duration::from_millis(self.settings.platform.host_list_interval_ms);
         let follower = document_follower::follow_documents(self.follower_seams(), ports);
         self.spawn(tasks, follower);
-        let watcher = watch_hosts(self.platform.clone(), self.hub.clone(), interval, SystemClock);
+        let watcher = watch_hosts(
+            self.platform.clone(),
+            self.hub.clone(),
+            interval,
+            SystemClock,
+        );
         self.spawn(tasks, watcher);
         let groups = groups::follow_groups(
             self.groups.clone(),
