--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-pub use settings::BackendSettings;
+pub use settings::{BackendSettings, ReplicationRoutes};
 
 use member::GroupMemberState;
 use session::StatementServer;
@@ -65,7 +65,10 @@
         let tasks = vec![
             tokio::spawn(statements.clone().serve(listener)),
             tokio::spawn(control::serve(member.clone(), control_listener)),
-            tokio::spawn(replication::follow_primary(member.clone())),
+            tokio::spawn(replication::follow_primary(
+                member.clone(),
+                settings.routes.clone(),
+            )),
             tokio::spawn(replication::apply_due_entries(member.clone())),
         ];
         Ok(Self {
--- a/crates/standin/src/backend/entry.rs
+++ b/crates/standin/src/backend/entry.rs
@@ -25,6 +25,18 @@
     pub statements: Vec<LoggedStatement>,
 }
 
+impl LogEntry {
+    /// Returns the approximate size in bytes.
+    pub fn size(&self) -> usize {
+        const ENTRY_OVERHEAD: usize = 64;
+        let statements = self.statements.iter().map(|statement| {
+            let params: usize = statement.params.iter().map(SqlValue::size).sum();
+            statement.sql.len() + params
+        });
+        ENTRY_OVERHEAD + statements.sum::<usize>()
+    }
+}
+
 /// Returns the last position of each term in `positions`, which is a whole log.
 pub fn term_ends(positions: impl Iterator<Item = LogPosition>) -> Vec<LogPosition> {
     let mut ends: Vec<LogPosition> = Vec::new();
--- a/crates/standin/src/backend/member.rs
+++ b/crates/standin/src/backend/member.rs
@@ -19,8 +19,8 @@
 use super::settings::BackendSettings;
 use super::store::{open_writer, CommittedStore, WriteTransaction, WriterConnection};
 
-/// Entries in one answer to a pull.
-const BATCH_ENTRIES: usize = 256;
+/// Bytes of statements in one answer to a pull. Frames are limited to 8 MiB.
+const BATCH_BYTES: usize = 1024 * 1024;
 
 /// Why a commit failed: the member is not the primary of the term at which the
 /// transaction began. Nothing was committed.
@@ -227,13 +227,7 @@
         }
         let common = common_length(&data.ends, &request.ends);
         let rest = &data.log[common as usize..];
-        let is_due = |stored: &&StoredEntry| stored.stored_at + request.lag <= now;
-        let entries: Vec<LogEntry> = rest
-            .iter()
-            .take(BATCH_ENTRIES)
-            .take_while(is_due)
-            .map(|stored| LogEntry::clone(&stored.entry))
-            .collect();
+        let entries = due_entries(rest, request.lag, now);
         if entries.is_empty() {
             return Err(rest.first().map(|stored| stored.stored_at + request.lag));
         }
@@ -521,3 +515,17 @@
         self.applied = length;
     }
 }
+
+/// Returns the first entries that are at least `lag` old, up to the batch size.
+fn due_entries(stored: &[StoredEntry], lag: Duration, now: Instant) -> Vec<LogEntry> {
+    let mut entries = Vec::new();
+    let mut bytes = 0;
+    for stored in stored {
+        if stored.stored_at + lag > now || bytes > BATCH_BYTES {
+            break;
+        }
+        bytes += stored.entry.size();
+        entries.push(LogEntry::clone(&stored.entry));
+    }
+    entries
+}
--- a/crates/standin/src/backend/replication.rs
+++ b/crates/standin/src/backend/replication.rs
@@ -16,6 +16,7 @@
 use super::control;
 use super::entry::LogEntry;
 use super::member::{FollowTarget, GroupMemberState};
+use super::settings::ReplicationRoutes;
 
 /// First byte of a replication connection. Frames of member control start with
 /// a big-endian length below 8 MiB, so their first byte is zero.
@@ -104,12 +105,12 @@
 }
 
 /// Pulls from the followed primary for as long as the member lives.
-pub async fn follow_primary(member: Arc<GroupMemberState>) {
+pub async fn follow_primary(member: Arc<GroupMemberState>, routes: ReplicationRoutes) {
     let mut targets = member.targets();
     loop {
         let target = *targets.borrow_and_update();
         let pulls: OptionFuture<_> = target
-            .map(|target| pull_until_failure(&member, target))
+            .map(|target| pull_until_failure(&member, &routes, target))
             .into();
         tokio::select! {
             biased;
@@ -141,8 +142,12 @@
     }
 }
 
-async fn pull_until_failure(member: &Arc<GroupMemberState>, target: FollowTarget) {
-    let Some(client) = connect(target.primary).await else {
+async fn pull_until_failure(
+    member: &Arc<GroupMemberState>,
+    routes: &ReplicationRoutes,
+    target: FollowTarget,
+) {
+    let Some(client) = connect(routes.find(target.primary)).await else {
         return;
     };
     while let Some(request) = member.pull_request(target, PULL_WAIT) {
--- a/crates/standin/src/backend/session/exchange.rs
+++ b/crates/standin/src/backend/session/exchange.rs
@@ -97,6 +97,7 @@
             };
             match self.state.execute(call).await {
                 Ok(output) => {
+                    self.forget_statements(&tokens);
                     if !output.columns.is_empty() {
                         self.push_columns(&output.columns, &ResultFormats::default())?;
                     }
@@ -236,6 +237,7 @@
             formats: &portal.formats,
         };
         let output = self.state.execute(call).await?;
+        self.forget_statements(&portal.statement.tokens);
         self.push_output(output)
             .map_err(|error| StatementError::new("XX000", &error.to_string()))?;
         Ok(Vec::new())
@@ -251,6 +253,22 @@
         vec![PgWireBackendMessage::CloseComplete(CloseComplete::new())]
     }
 
+    /// Drops prepared statements as DISCARD ALL and DEALLOCATE do, so that a
+    /// pool that relies on them afterwards fails here like on PostgreSQL.
+    fn forget_statements(&mut self, tokens: &[SqlToken]) {
+        if !tokens[0].is("discard") && !tokens[0].is("deallocate") {
+            return;
+        }
+        let Some(name) = tokens.last().and_then(SqlToken::name) else {
+            return;
+        };
+        if name == "all" {
+            self.statements.clear();
+        } else {
+            self.statements.remove(&name);
+        }
+    }
+
     fn find_statement(&self, name: Option<&str>) -> Result<PreparedStatement> {
         let name = name.unwrap_or_default();
         self.statements.get(name).cloned().ok_or_else(|| {
--- a/crates/standin/src/backend/session/execute.rs
+++ b/crates/standin/src/backend/session/execute.rs
@@ -126,7 +126,7 @@
                 Ok(command("SET"))
             }
             StatementAction::Reset => {
-                self.variables.clear();
+                self.reset_variables(call.tokens);
                 Ok(command(&verb(call.tokens)))
             }
             StatementAction::Show => self.show_variable(call),
@@ -348,6 +348,15 @@
             .insert(name, value.trim_matches('\'').to_owned());
     }
 
+    fn reset_variables(&mut self, tokens: &[SqlToken]) {
+        let name = variable_name(&tokens[1..]);
+        if name == "all" {
+            self.variables.clear();
+        } else {
+            self.variables.remove(&name);
+        }
+    }
+
     fn show_variable(&self, call: StatementCall<'_>) -> Result<StatementOutput> {
         let name = variable_name(&call.tokens[1..]);
         let is_replica = self.server.member.writer().is_err();
--- a/crates/standin/src/backend/settings.rs
+++ b/crates/standin/src/backend/settings.rs
@@ -1,7 +1,9 @@
 //! Settings of a backend server.
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Settings of one backend server.
@@ -23,6 +25,9 @@
     pub lag: Duration,
     /// See [`super::BackendServer::set_apply_lag`].
     pub apply_lag: Duration,
+    /// Routes that replication takes instead of the primaries' control
+    /// addresses.
+    pub routes: ReplicationRoutes,
     /// Directory that keeps the promised term, the grant and the log.
     pub data_dir: Option<PathBuf>,
     /// Whether a member without saved state starts as primary at term 1.
@@ -44,9 +49,34 @@
             service_time: Duration::ZERO,
             lag: Duration::ZERO,
             apply_lag: Duration::ZERO,
+            routes: ReplicationRoutes::default(),
             data_dir: None,
             bootstrap_primary: false,
             follow: None,
         }
     }
 }
+
+/// Maps control addresses to the addresses that replication connects to, so
+/// that tests can cut replication apart from control. Clones share the map.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicationRoutes {
+    routes: Arc<Mutex<HashMap<SocketAddr, SocketAddr>>>,
+}
+
+impl ReplicationRoutes {
+    /// Sets the route to a control address.
+    pub fn set(&self, control_address: SocketAddr, route: SocketAddr) {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        routes.insert(control_address, route);
+    }
+
+    /// Returns the route to a control address, by default the address itself.
+    pub fn find(&self, control_address: SocketAddr) -> SocketAddr {
+        let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        routes
+            .get(&control_address)
+            .copied()
+            .unwrap_or(control_address)
+    }
+}
--- a/crates/standin/src/backend/value.rs
+++ b/crates/standin/src/backend/value.rs
@@ -23,6 +23,18 @@
     Blob(Vec<u8>),
 }
 
+impl SqlValue {
+    /// Returns the approximate size in bytes.
+    pub fn size(&self) -> usize {
+        match self {
+            Self::Null => 1,
+            Self::Integer(_) | Self::Real(_) => 9,
+            Self::Text(text) => 9 + text.len(),
+            Self::Blob(bytes) => 9 + bytes.len(),
+        }
+    }
+}
+
 impl rusqlite::ToSql for SqlValue {
     fn to_sql(&self) -> rusqlite::Result<ToSqlOutput<'_>> {
         let value = match self {
--- a/crates/standin/src/bin/standin-backend.rs
+++ b/crates/standin/src/bin/standin-backend.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use standin::backend::{BackendServer, BackendSettings};
+use standin::backend::{BackendServer, BackendSettings, ReplicationRoutes};
 
 /// A backend server of a database group, for tests.
 #[derive(Debug, FromArgs)]
@@ -56,6 +56,7 @@
             service_time: Duration::from_millis(arguments.service_time_ms),
             lag: Duration::from_millis(arguments.lag_ms),
             apply_lag: Duration::from_millis(arguments.apply_lag_ms),
+            routes: ReplicationRoutes::default(),
             data_dir: arguments.data_dir,
             bootstrap_primary: arguments.bootstrap_primary,
             follow: arguments.follow,
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -27,7 +27,7 @@
 use tokio::time::sleep;
 use transport::seam::{HostEntry, HostState};
 
-use crate::backend::{BackendServer, BackendSettings};
+use crate::backend::{BackendServer, BackendSettings, ReplicationRoutes};
 use crate::platform::PlatformServer;
 use crate::relay::TcpRelay;
 
@@ -44,12 +44,14 @@
     pub groups: usize,
     /// Members of each group.
     pub members: usize,
-    /// Settings of each member. Addresses, data directory, bootstrap and
-    /// follow are filled in by the cluster.
+    /// Settings of each member. Addresses, routes, data directory, bootstrap
+    /// and follow are filled in by the cluster.
     pub member: BackendSettings,
     /// Whether a restarted member finds its log again.
     pub keep_data: bool,
-    /// Whether the document and replication reach members through relays.
+    /// Whether members are reached through relays: the document names the
+    /// statement and control relays, and replicas pull through the replication
+    /// relays, so that each path can be cut alone.
     pub use_relays: bool,
     /// Entry hosts of the document.
     pub entry_hosts: Vec<SocketAddr>,
@@ -82,8 +84,10 @@
 pub struct MemberRelays {
     /// Relay to the statement address.
     pub statements: TcpRelay,
-    /// Relay to the control address, which replication uses too.
+    /// Relay to the control address, for control only.
     pub control: TcpRelay,
+    /// Relay that replicas use to pull from this member.
+    pub replication: TcpRelay,
 }
 
 /// A running cluster. Dropping it stops everything and deletes its data.
@@ -314,6 +318,7 @@
             Some(MemberRelays {
                 statements: TcpRelay::start(server.address()).await?,
                 control: TcpRelay::start(server.control_address()).await?,
+                replication: TcpRelay::start(server.control_address()).await?,
             })
         } else {
             None
@@ -347,16 +352,22 @@
     group: usize,
     directory: &Path,
 ) -> io::Result<Vec<ClusterMember>> {
+    let routes = ReplicationRoutes::default();
     let mut members: Vec<ClusterMember> = Vec::with_capacity(settings.members);
     for member in 0..settings.members {
         let name = Cluster::member_name(MemberAddress { group, member });
         let member_settings = BackendSettings {
+            routes: routes.clone(),
             data_dir: settings.keep_data.then(|| directory.join(name)),
             bootstrap_primary: member == 0,
             follow: members.first().map(ClusterMember::public_control_address),
             ..settings.member.clone()
         };
-        members.push(ClusterMember::start(member_settings, settings.use_relays).await?);
+        let member = ClusterMember::start(member_settings, settings.use_relays).await?;
+        if let Some(relays) = &member.relays {
+            routes.set(relays.control.address(), relays.replication.address());
+        }
+        members.push(member);
     }
     Ok(members)
 }
