coordination: raise the load of loans in the shares simulation

Change: hosts are idle or busy for seconds, repeat loan requests with another count, and crash for 0.1 to 40 s; the long test function is split.

--- a/crates/coordination/tests/shares.rs
+++ b/crates/coordination/tests/shares.rs
@@ -86,6 +86,9 @@
     in_use: [u32; MEMBERS.len()],
     over_since: [Option<Instant>; MEMBERS.len()],
     next_loan: u64,
+    last_loan: (usize, usize),
+    /// Whether the callers of this host want few connections at present.
+    idle: bool,
 }
 
 /// A message, or a request to the store, with its time of arrival.
@@ -212,15 +215,17 @@
             in_use: [0; MEMBERS.len()],
             over_since: [None; MEMBERS.len()],
             next_loan: 0,
+            last_loan: (0, host),
+            idle: false,
         });
     }
 
     fn inject_faults(&mut self) {
         let hosts = HOSTS.len();
-        if self.rng.random_bool(0.01) {
+        if self.rng.random_bool(0.006) {
             let host = self.rng.random_range(0..hosts);
             self.processes[host] = None;
-            let down = [300, 3_000, 60_000][self.rng.random_range(0..3)];
+            let down = [100, 3_000, 40_000][self.rng.random_range(0..3)];
             self.restart_at[host] = self.now + Duration::from_millis(down);
         }
         if self.rng.random_bool(0.02) {
@@ -228,7 +233,7 @@
                 self.rng.random_range(0..hosts),
                 self.rng.random_range(0..hosts),
             );
-            let cut = self.rng.random_bool(0.6);
+            let cut = self.rng.random_bool(0.3);
             self.cut.insert((left.min(right), left.max(right)), cut);
         }
         if self.rng.random_bool(0.01) {
@@ -328,20 +333,21 @@
     }
 
     fn receive(&mut self, message: InTransit<ShareMessage>) {
-        let InTransit {
-            from,
-            to,
-            incarnation,
-            body,
-            ..
-        } = message;
-        let now = self.now;
-        let Some(process) = self.processes[to].as_mut() else {
+        let Some(process) = self.processes[message.to].as_ref() else {
             return;
         };
-        if incarnation.is_some_and(|incarnation| incarnation != process.incarnation) {
-            return;
+        let own = process.incarnation;
+        match message.incarnation {
+            None => self.receive_request(message),
+            Some(incarnation) if incarnation == own => self.receive_answer(message),
+            Some(_) => {}
         }
+    }
+
+    fn receive_request(&mut self, message: InTransit<ShareMessage>) {
+        let InTransit { from, to, body, .. } = message;
+        let now = self.now;
+        let process = self.processes[to].as_mut().expect("runs");
         let peer = HOSTS[from].0;
         match body {
             ShareMessage::AskGrant {
@@ -359,20 +365,6 @@
                 };
                 self.send(to, from, Some(incarnation), answer);
             }
-            ShareMessage::Granted {
-                sent_at,
-                version,
-                vouches,
-                settled,
-            } => {
-                process.table.note_grant(&GrantNote {
-                    peer,
-                    sent_at,
-                    same_document: vouches && version >= process.version,
-                    settled: settled && version >= process.version,
-                });
-            }
-            ShareMessage::Releasing => process.table.note_releasing(now),
             ShareMessage::AskLoan {
                 incarnation,
                 member,
@@ -397,6 +389,31 @@
                 };
                 self.send(to, from, Some(incarnation), answer);
             }
+            _ => panic!("an answer without its request"),
+        }
+    }
+
+    fn receive_answer(&mut self, message: InTransit<ShareMessage>) {
+        let InTransit { from, to, body, .. } = message;
+        let now = self.now;
+        let process = self.processes[to].as_mut().expect("runs");
+        let peer = HOSTS[from].0;
+        match body {
+            ShareMessage::Granted {
+                sent_at,
+                version,
+                vouches,
+                settled,
+            } => {
+                let newest = version >= process.version;
+                process.table.note_grant(&GrantNote {
+                    peer,
+                    sent_at,
+                    same_document: vouches && newest,
+                    settled: settled && newest,
+                });
+            }
+            ShareMessage::Releasing => process.table.note_releasing(now),
             ShareMessage::Lent {
                 incarnation,
                 member,
@@ -429,6 +446,7 @@
                     .table
                     .end_takeover_attempt(HOSTS[host].0, attempt, true, now);
             }
+            _ => panic!("a request as an answer"),
         }
     }
 
@@ -499,43 +517,58 @@
     /// Opens connections up to the allowance at once, closes them late.
     fn use_connections(&mut self, host: usize) {
         let now = self.now;
-        let mut asks = Vec::new();
         let Some(process) = self.processes[host].as_mut() else {
             return;
         };
+        if self.faults && self.rng.random_bool(0.01) {
+            process.idle = self.rng.random_bool(0.4);
+        }
         for (member, (name, _, _)) in MEMBERS.iter().enumerate() {
             let allowance = process.table.allowance(name, now);
             let in_use = &mut process.in_use[member];
+            let wanted = if process.idle {
+                allowance / 5
+            } else {
+                allowance
+            };
             if *in_use <= allowance {
                 process.over_since[member] = None;
-                *in_use = self.rng.random_range(*in_use..=allowance);
-                if self.faults && self.rng.random_bool(0.05) {
-                    *in_use = self.rng.random_range(0..=*in_use);
-                    asks.push((member, process.next_loan));
-                    process.next_loan += u64::from(self.rng.random_bool(0.5));
-                }
+                *in_use = wanted;
             } else {
                 let since = *process.over_since[member].get_or_insert(now);
                 if now.duration_since(since) >= Duration::from_millis(900) {
-                    *in_use = allowance;
+                    *in_use = wanted;
                 }
             }
             process.table.set_in_use(name, *in_use);
         }
-        let incarnation = process.incarnation;
-        for (member, id) in asks {
-            let peer = self.rng.random_range(0..HOSTS.len());
-            let count = self.rng.random_range(1..6);
+        if self.faults && !process.idle && self.rng.random_bool(0.3) {
+            self.ask_loan(host);
+        }
+    }
+
+    /// Asks for a loan, or repeats the last request with another count.
+    fn ask_loan(&mut self, host: usize) {
+        let Some(process) = self.processes[host].as_mut() else {
+            return;
+        };
+        if self.rng.random_bool(0.5) {
+            process.next_loan += 1;
+            let member = self.rng.random_range(0..MEMBERS.len());
+            process.last_loan = (member, self.rng.random_range(0..HOSTS.len()));
+        }
+        let (member, peer) = process.last_loan;
+        let (incarnation, id, sent_at) = (process.incarnation, process.next_loan, self.now);
+        let count = self.rng.random_range(1..6);
+        if peer != host {
             let ask = ShareMessage::AskLoan {
                 incarnation,
                 member,
                 id,
                 count,
-                sent_at: now,
+                sent_at,
             };
-            if peer != host {
-                self.send(host, peer, None, ask);
-            }
+            self.send(host, peer, None, ask);
         }
     }
 
