--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,5 +3,7 @@
 //! Borders: carries out what `coordination` decides; makes no decision that a
 //! test without sockets could not reach.
 
+pub mod backend;
 pub mod group_handle;
+pub mod pool;
 pub mod seam;
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,304 @@
+//! The connections of this host to one backend server.
+//!
+//! The number of open connections, idle ones included, stays within the host's
+//! share of the server's limit. The share may change at run time.
+
+mod clean;
+mod gate;
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use crate::backend::{BackendConnection, BackendError, BackendIdentity};
+
+pub use gate::{AdmissionGate, AdmissionPass};
+
+/// Longest time to open a connection, below the statement's own deadline, so
+/// that a dead server leaves time for another one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Result of taking a connection.
+pub type Result<T> = std::result::Result<T, PoolError>;
+
+/// Why no connection could be taken. No statement was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PoolError {
+    /// No connection became free by the deadline.
+    Exhausted,
+    /// A connection could not be opened.
+    Connect(BackendError),
+}
+
+/// The connections to one member.
+#[derive(Debug)]
+pub struct MemberPool {
+    name: String,
+    address: SocketAddr,
+    identity: BackendIdentity,
+    gate: AdmissionGate,
+    in_use: AtomicUsize,
+    state: Mutex<PoolState>,
+}
+
+/// # Invariants
+///
+/// `open` counts the connections that are idle, in use, being opened or being
+/// cleaned. A new one is opened only while `open < share`.
+#[derive(Debug)]
+struct PoolState {
+    idle: Vec<BackendConnection>,
+    open: usize,
+    share: usize,
+    waiters: VecDeque<oneshot::Sender<PooledConnection>>,
+}
+
+impl MemberPool {
+    /// Builds an empty pool.
+    pub fn new(
+        name: &str,
+        address: SocketAddr,
+        identity: BackendIdentity,
+        share: usize,
+        gate: AdmissionGate,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            address,
+            identity,
+            gate,
+            in_use: AtomicUsize::new(0),
+            state: Mutex::new(PoolState {
+                idle: Vec::new(),
+                open: 0,
+                share,
+                waiters: VecDeque::new(),
+            }),
+        })
+    }
+
+    /// Returns the name of the backend server.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the address of the backend server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the queue in front of the member.
+    pub fn gate(&self) -> &AdmissionGate {
+        &self.gate
+    }
+
+    /// Returns the number of connections that are in use.
+    pub fn in_use(&self) -> u32 {
+        u32::try_from(self.in_use.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the share.
+    pub fn share(&self) -> usize {
+        self.lock().share
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.lock().open
+    }
+
+    /// Returns how many connections of the share are not in use.
+    pub fn spare(&self) -> usize {
+        let state = self.lock();
+        let used = state.open - state.idle.len();
+        state.share.saturating_sub(used)
+    }
+
+    /// Changes the share. Idle connections above it are closed at once, those
+    /// in use when they are returned.
+    pub fn set_share(self: &Arc<Self>, share: usize) {
+        let mut closed = Vec::new();
+        let mut state = self.lock();
+        state.share = share;
+        while state.open > share {
+            let Some(connection) = state.idle.pop() else {
+                break;
+            };
+            state.open -= 1;
+            closed.push(connection);
+        }
+        self.serve_waiters(state);
+    }
+
+    /// Closes the idle connections that last received a byte before `instant`.
+    pub fn close_idle_before(self: &Arc<Self>, instant: Instant) {
+        let mut state = self.lock();
+        let (closed, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut state.idle)
+            .into_iter()
+            .partition(|connection| connection.received_at() < instant);
+        state.idle = kept;
+        state.open -= closed.len();
+        self.serve_waiters(state);
+    }
+
+    /// Takes a connection, in order of arrival.
+    pub async fn check_out(self: &Arc<Self>, deadline: Instant) -> Result<PooledConnection> {
+        let mut pooled = match self.take_now() {
+            Ok(pooled) => pooled,
+            Err(waiter) => timeout_at(deadline.into(), waiter)
+                .await
+                .map_err(|_| PoolError::Exhausted)?
+                .map_err(|_| PoolError::Exhausted)?,
+        };
+        let is_alive = |connection: &BackendConnection| connection.is_alive();
+        if !pooled.connection.as_ref().is_some_and(is_alive) {
+            pooled.open(deadline).await?;
+        }
+        Ok(pooled)
+    }
+
+    /// Opens a connection beside the pool to find out whether the server is
+    /// alive.
+    pub async fn probe(&self, deadline: Instant) -> bool {
+        BackendConnection::connect(self.address, &self.identity, deadline)
+            .await
+            .is_ok()
+    }
+
+    fn take_now(
+        self: &Arc<Self>,
+    ) -> std::result::Result<PooledConnection, oneshot::Receiver<PooledConnection>> {
+        let mut state = self.lock();
+        if let Some(connection) = state.idle.pop() {
+            return Ok(self.wrap(Some(connection)));
+        }
+        if state.open < state.share {
+            state.open += 1;
+            return Ok(self.wrap(None));
+        }
+        let (sender, receiver) = oneshot::channel();
+        state.waiters.push_back(sender);
+        Err(receiver)
+    }
+
+    fn wrap(self: &Arc<Self>, connection: Option<BackendConnection>) -> PooledConnection {
+        self.in_use.fetch_add(1, Ordering::Relaxed);
+        PooledConnection {
+            pool: Some(self.clone()),
+            connection,
+        }
+    }
+
+    /// Takes back a connection, or the place of a closed one.
+    fn check_in(self: &Arc<Self>, connection: Option<BackendConnection>) {
+        self.in_use.fetch_sub(1, Ordering::Relaxed);
+        let mut state = self.lock();
+        match connection {
+            Some(connection) if state.open <= state.share => state.idle.push(connection),
+            _ => state.open -= 1,
+        }
+        self.serve_waiters(state);
+    }
+
+    /// Hands free connections and places to the waiting requests in order.
+    fn serve_waiters(self: &Arc<Self>, mut state: MutexGuard<'_, PoolState>) {
+        while !state.waiters.is_empty() {
+            let connection = state.idle.pop();
+            if connection.is_none() {
+                if state.open >= state.share {
+                    return;
+                }
+                state.open += 1;
+            }
+            let Some(waiter) = state.waiters.pop_front() else {
+                return;
+            };
+            let Err(refused) = waiter.send(self.wrap(connection)) else {
+                continue;
+            };
+            // The request has gone: the next one gets the connection.
+            match refused.dissolve() {
+                Some(connection) => state.idle.push(connection),
+                None => state.open -= 1,
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A connection that was taken from a pool. Dropping it returns it: a clean
+/// one is reused, one with a transaction or session state is cleaned first,
+/// one with an outstanding answer is closed.
+#[derive(Debug)]
+pub struct PooledConnection {
+    pool: Option<Arc<MemberPool>>,
+    connection: Option<BackendConnection>,
+}
+
+impl PooledConnection {
+    /// Closes the connection instead of returning it.
+    pub fn close(mut self) {
+        self.connection = None;
+    }
+
+    /// Returns the pool that it came from.
+    pub fn pool(&self) -> &Arc<MemberPool> {
+        self.pool.as_ref().expect("a pooled connection has a pool")
+    }
+
+    async fn open(&mut self, deadline: Instant) -> Result<()> {
+        self.connection = None;
+        let pool = self.pool().clone();
+        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let connection = BackendConnection::connect(pool.address, &pool.identity, deadline)
+            .await
+            .map_err(PoolError::Connect)?;
+        self.connection = Some(connection);
+        Ok(())
+    }
+
+    /// Takes the connection out without returning its place to the pool.
+    fn dissolve(mut self) -> Option<BackendConnection> {
+        if let Some(pool) = self.pool.take() {
+            pool.in_use.fetch_sub(1, Ordering::Relaxed);
+        }
+        self.connection.take()
+    }
+}
+
+impl Deref for PooledConnection {
+    type Target = BackendConnection;
+
+    fn deref(&self) -> &BackendConnection {
+        self.connection.as_ref().expect("connection is open")
+    }
+}
+
+impl DerefMut for PooledConnection {
+    fn deref_mut(&mut self) -> &mut BackendConnection {
+        self.connection.as_mut().expect("connection is open")
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        let Some(pool) = self.pool.take() else {
+            return;
+        };
+        let connection = self.connection.take();
+        match connection {
+            Some(connection) if connection.is_clean() => pool.check_in(Some(connection)),
+            Some(connection) if connection.is_settled() => clean::spawn(pool, connection),
+            _ => pool.check_in(None),
+        }
+    }
+}
