--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -100,6 +100,7 @@
     output: BytesMut,
     outstanding: u32,
     broken: bool,
+    in_pipeline: bool,
     status: u8,
     cancel_key: Option<BackendCancelKey>,
     opened_at: Instant,
@@ -129,6 +130,7 @@
             output: BytesMut::new(),
             outstanding: 0,
             broken: false,
+            in_pipeline: false,
             status: STATUS_IDLE,
             cancel_key: None,
             opened_at: now,
@@ -200,7 +202,11 @@
 
     /// Tells whether no answer is outstanding and the connection works.
     pub fn is_settled(&self) -> bool {
-        !self.broken && self.outstanding == 0 && self.input.is_empty() && self.output.is_empty()
+        !self.broken
+            && !self.in_pipeline
+            && self.outstanding == 0
+            && self.input.is_empty()
+            && self.output.is_empty()
     }
 
     /// Tells whether the connection may serve another session at once.
@@ -215,6 +221,11 @@
         &mut self.output
     }
 
+    /// Enters that frames were sent whose Sync is still to come.
+    pub fn note_pipeline(&mut self) {
+        self.in_pipeline = true;
+    }
+
     /// Adds a Query.
     pub fn compose_query(&mut self, text: &str) {
         frame::put_query(self.compose(1), text);
@@ -257,13 +268,28 @@
     }
 
     /// Tells whether an idle connection still works. A closed one, or one
-    /// with unexpected bytes, does not.
+    /// with unexpected bytes, does not. Only for connections that are not in
+    /// use, since it may take a byte.
     pub fn is_alive(&self) -> bool {
         let mut probe = [0; 1];
         let read = self.stream.try_read(&mut probe);
         matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
     }
 
+    /// Reads what has arrived already; returns false when there is nothing.
+    pub fn receive_ready(&mut self) -> Result<bool> {
+        self.input.reserve(READ_BYTES);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => Err(self.fail(BackendError::Lost("closed by the server".to_owned()))),
+            Ok(_) => {
+                self.received_at = Instant::now();
+                Ok(true)
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Ok(false),
+            Err(error) => Err(self.fail(BackendError::Lost(error.to_string()))),
+        }
+    }
+
     async fn receive(&mut self, deadline: Instant) -> Result<()> {
         self.input.reserve(READ_BYTES);
         let read = timeout_at(deadline.into(), self.stream.read_buf(&mut self.input)).await;
@@ -282,6 +308,7 @@
         if frame.tag() != tag::READY {
             return;
         }
+        self.in_pipeline = false;
         self.status = frame.body().first().copied().unwrap_or(STATUS_FAILED);
         match self.outstanding.checked_sub(1) {
             Some(outstanding) => self.outstanding = outstanding,
--- /dev/null
+++ b/crates/transport/src/caller.rs
@@ -0,0 +1,99 @@
+//! Callers: the listener, start-up and log-in.
+
+pub mod cancel;
+pub(crate) mod class_cache;
+pub mod context;
+pub mod metrics;
+pub(crate) mod scram;
+pub(crate) mod startup;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use protocol::frame::{self, ErrorSeverity};
+use protocol::result_code::ResultCode;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use context::CallerContext;
+use startup::{StartOutcome, StartupExchange};
+
+/// Longest time for start-up and log-in.
+const LOGIN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, which happens when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Idle time before the first keep-alive probe to a caller.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(60);
+
+/// Serves callers until the daemon shuts down and the last session has ended,
+/// at the latest when the drain time of the document has passed.
+pub async fn serve_callers(listener: TcpListener, context: Arc<CallerContext>) {
+    let mut sessions = JoinSet::new();
+    let mut shutdown = context.shutdown.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => start_session(&mut sessions, stream, &context),
+                Err(error) => {
+                    log::warn!("cannot accept a caller: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = sessions.join_next() => {}
+            _ = shutdown.wait_for(|stopping| *stopping) => break,
+        }
+    }
+    drop(listener);
+    let drain_ms = context.current_document().document.deadlines.drain_ms;
+    let drained = timeout(Duration::from_millis(drain_ms), async {
+        while sessions.join_next().await.is_some() {}
+    });
+    if drained.await.is_err() {
+        log::warn!("drain deadline passed with {} sessions", sessions.len());
+    }
+}
+
+fn start_session(sessions: &mut JoinSet<()>, stream: TcpStream, context: &Arc<CallerContext>) {
+    if sessions.len() as u64 >= context.settings.caller_limit {
+        sessions.spawn(refuse_connection(stream));
+        return;
+    }
+    let context = context.clone();
+    sessions.spawn(async move {
+        context.metrics.callers.inc();
+        if let Err(error) = serve_caller(stream, &context).await {
+            log::debug!("caller connection ended: {error}");
+        }
+        context.metrics.callers.dec();
+    });
+}
+
+async fn refuse_connection(mut stream: TcpStream) {
+    let mut out = BytesMut::new();
+    let reason = "too many caller connections";
+    frame::put_result(
+        &mut out,
+        ErrorSeverity::Fatal,
+        ResultCode::QueueFull,
+        reason,
+    );
+    let _ = timeout(LOGIN_TIMEOUT, stream.write_all(&out)).await;
+}
+
+async fn serve_caller(stream: TcpStream, context: &Arc<CallerContext>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE);
+    SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+    // Boxed, so that the memory of the log-in is not kept by an idle session.
+    let login = Box::pin(StartupExchange::new(stream, context).run());
+    let started = timeout(LOGIN_TIMEOUT, login).await;
+    match started.map_err(io::Error::other)?? {
+        StartOutcome::Session(session) => session.run().await,
+        StartOutcome::Ended => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/caller/context.rs
@@ -0,0 +1,287 @@
+//! What all caller sessions of a daemon share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use coordination::admission::AdmissionSettings;
+use coordination::retry::{RetryBudget, RetryPolicy};
+use coordination::view::MemberView;
+use protocol::peer::CancelKey;
+use slotmap::{SecondaryMap, SlotMap};
+use state::document::IntentDocument;
+use state::keys::{ClassKey, CustomerKey, MemberKey};
+use state::settings::DaemonSettings;
+use tokio::sync::{mpsc, watch};
+
+use super::cancel::CancelRegistry;
+use super::class_cache::ClassCache;
+use super::metrics::CallerMetrics;
+use super::scram::PasswordTable;
+use crate::backend::BackendIdentity;
+use crate::group_handle::GroupHandle;
+use crate::pool::{AdmissionGate, MemberPool};
+
+/// User name with which the proxy logs in at backend servers.
+pub const BACKEND_USER: &str = "cassia";
+
+/// Statements in flight per slot of the host's share. One statement per slot
+/// executes while another one travels.
+const IN_FLIGHT_PER_SLOT: usize = 2;
+
+/// Service time assumed before the first statement has been measured.
+const INITIAL_SERVICE: Duration = Duration::from_millis(1);
+
+/// The intent document in force.
+#[derive(Clone, Debug)]
+pub struct DocumentInForce {
+    /// Version.
+    pub version: u64,
+    /// The document.
+    pub document: IntentDocument,
+}
+
+/// This host's share of one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberShare {
+    /// Connections, idle ones included.
+    pub connections: usize,
+    /// Statements in flight.
+    pub in_flight: usize,
+}
+
+/// Shared state of the caller sessions.
+#[derive(Debug)]
+pub struct CallerContext {
+    /// Settings of the daemon.
+    pub settings: DaemonSettings,
+    /// Region of the daemon's data centre.
+    pub region: String,
+    /// The document in force.
+    pub document: watch::Receiver<Arc<DocumentInForce>>,
+    /// Turns true when the daemon shuts down.
+    pub shutdown: watch::Receiver<bool>,
+    /// Receives cancel requests for sessions of other daemons.
+    pub cancel_elsewhere: Option<mpsc::Sender<CancelKey>>,
+    /// Metrics.
+    pub metrics: CallerMetrics,
+    /// Cancel keys of the sessions.
+    pub cancels: CancelRegistry,
+    pub(crate) passwords: Arc<PasswordTable>,
+    pub(crate) classes: ClassCache,
+    pub(crate) retry: Mutex<RetryPolicy>,
+    groups: RwLock<HashMap<String, Arc<GroupContext>>>,
+    names: Mutex<QueueNames>,
+}
+
+/// Keys of customers and classes in the admission queues. A name keeps its key
+/// over changes of the document.
+#[derive(Debug, Default)]
+struct QueueNames {
+    customers: SlotMap<CustomerKey, ()>,
+    classes: SlotMap<ClassKey, ()>,
+    customer_keys: HashMap<String, CustomerKey>,
+    class_keys: HashMap<String, ClassKey>,
+}
+
+impl CallerContext {
+    /// Builds a context without groups.
+    pub fn new(
+        settings: DaemonSettings,
+        document: watch::Receiver<Arc<DocumentInForce>>,
+        shutdown: watch::Receiver<bool>,
+        metrics: CallerMetrics,
+    ) -> Self {
+        let in_force = document.borrow().clone();
+        let limits = in_force.document.limits;
+        let centre = in_force
+            .document
+            .data_centre
+            .iter()
+            .find(|centre| centre.name == settings.data_centre);
+        let region = centre.map(|centre| centre.region.clone());
+        let budget = RetryBudget::new(
+            limits.retry_budget_percent,
+            limits.retry_floor_per_second,
+            Instant::now(),
+        );
+        Self {
+            passwords: Arc::new(PasswordTable::new(&settings.credential)),
+            settings,
+            region: region.unwrap_or_default(),
+            document,
+            shutdown,
+            cancel_elsewhere: None,
+            metrics,
+            cancels: CancelRegistry::default(),
+            classes: ClassCache::default(),
+            retry: Mutex::new(RetryPolicy::new(budget)),
+            groups: RwLock::default(),
+            names: Mutex::default(),
+        }
+    }
+
+    /// Returns the document in force.
+    pub fn current_document(&self) -> Arc<DocumentInForce> {
+        self.document.borrow().clone()
+    }
+
+    /// Adds or replaces a group. Sessions that are open keep the old one.
+    pub fn set_group(&self, group: Arc<GroupContext>) {
+        let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
+        groups.insert(group.name.clone(), group);
+    }
+
+    /// Removes a group.
+    pub fn remove_group(&self, name: &str) {
+        let mut groups = self.groups.write().unwrap_or_else(PoisonError::into_inner);
+        groups.remove(name);
+    }
+
+    /// Finds a group.
+    pub fn find_group(&self, name: &str) -> Option<Arc<GroupContext>> {
+        let groups = self.groups.read().unwrap_or_else(PoisonError::into_inner);
+        groups.get(name).cloned()
+    }
+
+    /// Returns the groups.
+    pub fn groups(&self) -> Vec<Arc<GroupContext>> {
+        let groups = self.groups.read().unwrap_or_else(PoisonError::into_inner);
+        groups.values().cloned().collect()
+    }
+
+    pub(crate) fn customer_key(&self, name: &str) -> CustomerKey {
+        let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(key) = names.customer_keys.get(name) {
+            return *key;
+        }
+        let key = names.customers.insert(());
+        names.customer_keys.insert(name.to_owned(), key);
+        key
+    }
+
+    pub(crate) fn class_key(&self, name: &str) -> ClassKey {
+        let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(key) = names.class_keys.get(name) {
+            return *key;
+        }
+        let key = names.classes.insert(());
+        names.class_keys.insert(name.to_owned(), key);
+        key
+    }
+}
+
+/// A group as the caller sessions use it.
+#[derive(Debug)]
+pub struct GroupContext {
+    /// Name of the group.
+    pub name: String,
+    /// Handle to its monitor.
+    pub handle: GroupHandle,
+    state: RwLock<PoolTable>,
+}
+
+#[derive(Debug)]
+struct PoolTable {
+    pools: SecondaryMap<MemberKey, Arc<MemberPool>>,
+    shares: HashMap<String, MemberShare>,
+    hosts: usize,
+    queue_length: usize,
+}
+
+impl GroupContext {
+    /// Builds a group. Until [`GroupContext::set_share`] is called, a member's
+    /// limits are divided by the number of entry hosts in the document.
+    pub fn new(name: &str, handle: GroupHandle, document: &IntentDocument) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            handle,
+            state: RwLock::new(PoolTable {
+                pools: SecondaryMap::new(),
+                shares: HashMap::new(),
+                hosts: document.entry_host.len().max(1),
+                queue_length: document.limits.queue_length as usize,
+            }),
+        })
+    }
+
+    /// Changes this host's share of a member.
+    pub fn set_share(&self, member: &str, share: MemberShare) {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        state.shares.insert(member.to_owned(), share);
+        for pool in state.pools.values().filter(|pool| pool.name() == member) {
+            pool.set_share(share.connections);
+            pool.gate().set_in_flight_limit(share.in_flight.max(1));
+        }
+    }
+
+    /// Changes the bound of each customer's and class's queue.
+    pub fn set_queue_length(&self, length: usize) {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        state.queue_length = length;
+        for pool in state.pools.values() {
+            pool.gate().set_queue_length(length);
+        }
+    }
+
+    /// Returns the pools that exist.
+    pub fn pools(&self) -> Vec<Arc<MemberPool>> {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        state.pools.values().cloned().collect()
+    }
+
+    /// Returns the number of connections in use at a member.
+    pub fn in_use(&self, key: MemberKey) -> u32 {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        state.pools.get(key).map_or(0, |pool| pool.in_use())
+    }
+
+    /// Returns the pool of a member. A member whose address has changed gets a
+    /// new one.
+    pub fn pool_of(&self, key: MemberKey, member: &MemberView) -> Arc<MemberPool> {
+        let state = self.state.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = state.pools.get(key) {
+            if pool.address() == member.address && pool.name() == member.name {
+                return pool.clone();
+            }
+        }
+        drop(state);
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        let current = state.pools.get(key).cloned();
+        if let Some(pool) = current.filter(|pool| pool.address() == member.address) {
+            return pool;
+        }
+        let pool = state.build(&self.name, member);
+        state.pools.insert(key, pool.clone());
+        pool
+    }
+}
+
+impl PoolTable {
+    fn build(&self, group: &str, member: &MemberView) -> Arc<MemberPool> {
+        let divided = |limit: u64| (limit as usize / self.hosts).max(1);
+        let default_share = MemberShare {
+            connections: divided(member.connection_limit),
+            in_flight: divided(member.slots) * IN_FLIGHT_PER_SLOT,
+        };
+        let share = self.shares.get(&member.name).copied();
+        let share = share.unwrap_or(default_share);
+        let gate = AdmissionGate::new(AdmissionSettings {
+            in_flight_limit: share.in_flight.max(1),
+            queue_length: self.queue_length,
+            initial_service: INITIAL_SERVICE,
+        });
+        let identity = BackendIdentity {
+            user: BACKEND_USER.to_owned(),
+            password: None,
+            database: group.to_owned(),
+        };
+        MemberPool::new(
+            &member.name,
+            member.address,
+            identity,
+            share.connections,
+            gate,
+        )
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,8 @@
 //! test without sockets could not reach.
 
 pub mod backend;
+pub mod caller;
 pub mod group_handle;
 pub mod pool;
 pub mod seam;
+pub(crate) mod session;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -42,7 +42,7 @@
     name: String,
     address: SocketAddr,
     identity: BackendIdentity,
-    gate: AdmissionGate,
+    gate: Arc<AdmissionGate>,
     in_use: AtomicUsize,
     state: Mutex<PoolState>,
 }
@@ -66,7 +66,7 @@
         address: SocketAddr,
         identity: BackendIdentity,
         share: usize,
-        gate: AdmissionGate,
+        gate: Arc<AdmissionGate>,
     ) -> Arc<Self> {
         Arc::new(Self {
             name: name.to_owned(),
@@ -94,7 +94,7 @@
     }
 
     /// Returns the queue in front of the member.
-    pub fn gate(&self) -> &AdmissionGate {
+    pub fn gate(&self) -> &Arc<AdmissionGate> {
         &self.gate
     }
 
--- a/crates/transport/src/pool/gate.rs
+++ b/crates/transport/src/pool/gate.rs
@@ -1,7 +1,7 @@
 //! The admission queue in front of a member, for concurrent sessions.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use coordination::admission::{
@@ -17,6 +17,9 @@
 /// Interval at which idle customers are forgotten.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A pass, and what to wait for before it is valid.
+type GateOffer = (AdmissionPass, Option<oneshot::Receiver<Result<()>>>);
+
 /// The queue of one member.
 #[derive(Debug)]
 pub struct AdmissionGate {
@@ -32,19 +35,19 @@
 
 impl AdmissionGate {
     /// Builds an empty queue.
-    pub fn new(settings: AdmissionSettings) -> Self {
+    pub fn new(settings: AdmissionSettings) -> Arc<Self> {
         let now = Instant::now();
-        Self {
+        Arc::new(Self {
             state: Mutex::new(GateState {
                 queue: AdmissionQueue::new(settings, now),
                 waiters: HashMap::new(),
                 tidied_at: now,
             }),
-        }
+        })
     }
 
     /// Waits for admission, at most until the deadline of `request`.
-    pub async fn enter(&self, request: &AdmissionRequest) -> Result<AdmissionPass<'_>> {
+    pub async fn enter(self: &Arc<Self>, request: &AdmissionRequest) -> Result<AdmissionPass> {
         let (mut pass, receiver) = match self.offer(request)? {
             (pass, None) => return Ok(pass),
             (pass, Some(receiver)) => (pass, receiver),
@@ -76,10 +79,7 @@
         self.lock().queue.set_queue_length(length);
     }
 
-    fn offer(
-        &self,
-        request: &AdmissionRequest,
-    ) -> Result<(AdmissionPass<'_>, Option<oneshot::Receiver<Result<()>>>)> {
+    fn offer(self: &Arc<Self>, request: &AdmissionRequest) -> Result<GateOffer> {
         let now = Instant::now();
         let mut state = self.lock();
         state.tidy(now);
@@ -92,7 +92,7 @@
             }
         };
         let pass = AdmissionPass {
-            gate: self,
+            gate: self.clone(),
             ticket,
             started_at: now,
             answered: false,
@@ -140,14 +140,14 @@
 
 /// Permission to run one statement. Dropping it gives the slot to the next.
 #[derive(Debug)]
-pub struct AdmissionPass<'a> {
-    gate: &'a AdmissionGate,
+pub struct AdmissionPass {
+    gate: Arc<AdmissionGate>,
     ticket: TicketKey,
     started_at: Instant,
     answered: bool,
 }
 
-impl AdmissionPass<'_> {
+impl AdmissionPass {
     /// Enters that the statement was answered, so that its service time counts.
     pub fn note_answer(&mut self) {
         self.answered = true;
@@ -158,7 +158,7 @@
     }
 }
 
-impl Drop for AdmissionPass<'_> {
+impl Drop for AdmissionPass {
     fn drop(&mut self) {
         let service = self.answered.then(|| self.started_at.elapsed());
         self.gate.leave(self.ticket, service);
--- /dev/null
+++ b/crates/transport/src/session/batch.rs
@@ -0,0 +1,425 @@
+//! Frames of the extended protocol between two Syncs.
+//!
+//! A prepared statement belongs to the caller's session. On a connection to a
+//! backend server it is prepared under a name derived from its content, so
+//! that callers share it, and again on each connection that does not have it.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
+use std::sync::{Arc, OnceLock};
+
+use bytes::{Bytes, BytesMut};
+use protocol::classify::{StatementClass, StatementKind};
+use protocol::frame::{self, tag, FrameError, WireFrame};
+
+use super::plan::{ExpectedReply, ReplyPlan};
+use super::work::WorkSummary;
+use crate::backend::BackendConnection;
+use crate::caller::class_cache::ClassCache;
+
+/// Target type of a statement in Describe and Close.
+const STATEMENT: u8 = b'S';
+
+/// Result of reading a caller's frame.
+pub(super) type Result<T> = std::result::Result<T, FrameError>;
+
+/// A statement that a caller prepared.
+#[derive(Debug)]
+pub(super) struct PreparedStatement {
+    /// Key derived from text and types; `None` for the unnamed statement,
+    /// which is prepared again for each exchange.
+    key: Option<u128>,
+    text: Box<str>,
+    types: Box<[u8]>,
+    /// Classification of the text.
+    pub(super) class: Arc<StatementClass>,
+}
+
+impl PreparedStatement {
+    fn server_name(&self) -> String {
+        match self.key {
+            Some(key) => format!("cassia_{key:032x}"),
+            None => String::new(),
+        }
+    }
+
+    /// Tells whether the proxy answers the statement itself.
+    pub(super) fn is_variable(&self) -> bool {
+        matches!(
+            self.class.kinds.as_slice(),
+            [StatementKind::SetVariable(_) | StatementKind::ShowVariable(_)]
+        )
+    }
+
+    fn shows_variable(&self) -> Option<&'static str> {
+        match self.class.kinds.as_slice() {
+            [StatementKind::ShowVariable(variable)] => Some(variable.name()),
+            _ => None,
+        }
+    }
+}
+
+/// Derives the key of a statement. The hash is keyed per process, so a caller
+/// cannot construct two texts with the same key.
+fn content_key(text: &str, types: &[u8]) -> u128 {
+    static HASHERS: OnceLock<(RandomState, RandomState)> = OnceLock::new();
+    let (first, second) = HASHERS.get_or_init(|| (RandomState::new(), RandomState::new()));
+    let high = u128::from(first.hash_one((text, types)));
+    high << 64 | u128::from(second.hash_one((text, types)))
+}
+
+/// One frame of the exchange, resolved to what it refers to.
+#[derive(Debug)]
+pub(super) enum BatchEntry {
+    /// Prepares a statement.
+    Parse {
+        /// The caller's name.
+        name: Box<str>,
+        /// The statement.
+        statement: Arc<PreparedStatement>,
+        /// Whether the name is in use, which the server must refuse.
+        duplicate: bool,
+    },
+    /// Binds a portal.
+    Bind {
+        /// The frame.
+        frame: WireFrame,
+        /// The statement; `None` when the name is unknown.
+        statement: Option<Arc<PreparedStatement>>,
+    },
+    /// Describes a statement.
+    Describe {
+        /// The caller's name.
+        name: Box<str>,
+        /// The statement; `None` when the name is unknown.
+        statement: Option<Arc<PreparedStatement>>,
+    },
+    /// Goes to the server as it is.
+    Forward {
+        /// The frame.
+        frame: WireFrame,
+        /// What ends its reply.
+        reply: ExpectedReply,
+    },
+    /// Runs a statement that the proxy answers itself.
+    Evaluate(Arc<PreparedStatement>),
+    /// Frames that the proxy answers itself.
+    Answer(Bytes),
+}
+
+/// Prepared statements and portals of a session, and the frames that wait for
+/// Sync or Flush.
+#[derive(Debug, Default)]
+pub(super) struct BatchState {
+    statements: HashMap<Box<str>, Arc<PreparedStatement>>,
+    portals: HashMap<Box<str>, Arc<PreparedStatement>>,
+    /// Frames in order.
+    pub(super) entries: Vec<BatchEntry>,
+    /// What the frames do.
+    pub(super) summary: WorkSummary,
+    /// Statements that the frames execute.
+    pub(super) executed: Vec<Arc<PreparedStatement>>,
+    /// Bytes of the frames.
+    pub(super) bytes: usize,
+}
+
+impl BatchState {
+    /// Adds a frame.
+    pub(super) fn push(&mut self, frame: WireFrame, classes: &ClassCache) -> Result<()> {
+        self.bytes += frame.bytes().len();
+        match frame.tag() {
+            tag::PARSE => self.push_parse(&frame, classes),
+            tag::BIND => self.push_bind(frame),
+            tag::DESCRIBE => self.push_describe(frame),
+            tag::EXECUTE => self.push_execute(frame),
+            _ => self.push_close(frame),
+        }
+    }
+
+    /// Forgets the frames.
+    pub(super) fn clear(&mut self) {
+        self.entries = Vec::new();
+        self.executed = Vec::new();
+        self.summary = WorkSummary::default();
+        self.bytes = 0;
+    }
+
+    /// Forgets the portals, which end with their transaction.
+    pub(super) fn drop_portals(&mut self) {
+        self.portals = HashMap::new();
+    }
+
+    /// Forgets a statement whose Parse failed.
+    pub(super) fn forget(&mut self, name: &str) {
+        self.statements.remove(name);
+    }
+
+    fn push_parse(&mut self, frame: &WireFrame, classes: &ClassCache) -> Result<()> {
+        let mut reader = frame.reader();
+        let name = reader.text()?;
+        let text = reader.text()?;
+        let types = reader.rest();
+        let statement = Arc::new(PreparedStatement {
+            key: (!name.is_empty()).then(|| content_key(text, types)),
+            text: text.into(),
+            types: types.into(),
+            class: classes.classify(text),
+        });
+        if statement.is_variable() {
+            self.answer(|out| frame::put_empty(out, tag::PARSE_COMPLETE));
+        } else {
+            self.entries.push(BatchEntry::Parse {
+                name: name.into(),
+                statement: statement.clone(),
+                duplicate: !name.is_empty() && self.statements.contains_key(name),
+            });
+        }
+        self.statements.insert(name.into(), statement);
+        Ok(())
+    }
+
+    fn push_bind(&mut self, frame: WireFrame) -> Result<()> {
+        let mut reader = frame.reader();
+        let portal: Box<str> = reader.text()?.into();
+        let statement = self.statements.get(reader.text()?).cloned();
+        match &statement {
+            Some(statement) => self.portals.insert(portal, statement.clone()),
+            None => self.portals.remove(&portal),
+        };
+        if statement.as_ref().is_some_and(|known| known.is_variable()) {
+            self.answer(|out| frame::put_empty(out, tag::BIND_COMPLETE));
+        } else {
+            self.entries.push(BatchEntry::Bind { frame, statement });
+        }
+        Ok(())
+    }
+
+    fn push_describe(&mut self, frame: WireFrame) -> Result<()> {
+        let mut reader = frame.reader();
+        let is_statement = reader.byte()? == STATEMENT;
+        let name = reader.text()?;
+        let table = match is_statement {
+            true => &self.statements,
+            false => &self.portals,
+        };
+        let statement = table.get(name).cloned();
+        if let Some(known) = statement.as_ref().filter(|known| known.is_variable()) {
+            let column = known.shows_variable();
+            self.answer(|out| describe_variable(out, is_statement, column));
+        } else if is_statement {
+            let name = name.into();
+            self.entries.push(BatchEntry::Describe { name, statement });
+        } else {
+            let reply = ExpectedReply::Describe;
+            self.entries.push(BatchEntry::Forward { frame, reply });
+        }
+        Ok(())
+    }
+
+    fn push_execute(&mut self, frame: WireFrame) -> Result<()> {
+        let portal = frame.reader().text()?;
+        let Some(statement) = self.portals.get(portal).cloned() else {
+            // The server refuses it; until then it counts as a write.
+            self.summary.writes = true;
+            self.summary.statements += 1;
+            let reply = ExpectedReply::Execute;
+            self.entries.push(BatchEntry::Forward { frame, reply });
+            return Ok(());
+        };
+        if statement.is_variable() {
+            self.entries.push(BatchEntry::Evaluate(statement));
+            return Ok(());
+        }
+        self.summary.add(&statement.class);
+        self.executed.push(statement);
+        let reply = ExpectedReply::Execute;
+        self.entries.push(BatchEntry::Forward { frame, reply });
+        Ok(())
+    }
+
+    fn push_close(&mut self, frame: WireFrame) -> Result<()> {
+        let mut reader = frame.reader();
+        let is_statement = reader.byte()? == STATEMENT;
+        let name = reader.text()?;
+        if is_statement {
+            // The connection keeps the statement for the next caller.
+            self.statements.remove(name);
+            self.answer(|out| frame::put_empty(out, tag::CLOSE_COMPLETE));
+            return Ok(());
+        }
+        let closed = self.portals.remove(name);
+        if closed.is_some_and(|statement| statement.is_variable()) {
+            self.answer(|out| frame::put_empty(out, tag::CLOSE_COMPLETE));
+        } else {
+            let reply = ExpectedReply::Close;
+            self.entries.push(BatchEntry::Forward { frame, reply });
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, put: impl FnOnce(&mut BytesMut)) {
+        let mut out = BytesMut::new();
+        put(&mut out);
+        self.entries.push(BatchEntry::Answer(out.freeze()));
+    }
+}
+
+fn describe_variable(out: &mut BytesMut, is_statement: bool, column: Option<&str>) {
+    if is_statement {
+        frame::put_no_parameters(out);
+    }
+    match column {
+        Some(column) => frame::put_text_description(out, column),
+        None => frame::put_empty(out, tag::NO_DATA),
+    }
+}
+
+/// Adds the frames of an exchange to the connection's output.
+pub(super) fn encode(
+    entries: &[BatchEntry],
+    synced: bool,
+    connection: &mut BackendConnection,
+) -> ReplyPlan {
+    let mut encoder = BatchEncoder {
+        connection,
+        plan: ReplyPlan::default(),
+        added: Vec::new(),
+        unnamed_parsed: false,
+    };
+    for entry in entries {
+        encoder.encode(entry);
+    }
+    if synced {
+        frame::put_empty(encoder.connection.compose(1), tag::SYNC);
+        encoder.plan.push(ExpectedReply::Ready);
+    } else {
+        encoder.connection.note_pipeline();
+        frame::put_empty(encoder.connection.compose(0), tag::FLUSH);
+    }
+    encoder.plan
+}
+
+struct BatchEncoder<'a> {
+    connection: &'a mut BackendConnection,
+    plan: ReplyPlan,
+    /// Keys whose Parse is part of this exchange.
+    added: Vec<u128>,
+    unnamed_parsed: bool,
+}
+
+impl BatchEncoder<'_> {
+    fn encode(&mut self, entry: &BatchEntry) {
+        match entry {
+            BatchEntry::Parse {
+                name,
+                statement,
+                duplicate,
+            } => self.parse(name, statement, *duplicate),
+            BatchEntry::Bind { frame, statement } => self.bind(frame, statement.as_deref()),
+            BatchEntry::Describe { name, statement } => self.describe(name, statement.as_deref()),
+            BatchEntry::Forward { frame, reply } => {
+                let out = self.connection.compose(0);
+                out.extend_from_slice(frame.bytes());
+                self.plan.push(reply.clone());
+            }
+            BatchEntry::Answer(bytes) => self.plan.push(ExpectedReply::Answer(bytes.clone())),
+            BatchEntry::Evaluate(_) => {}
+        }
+    }
+
+    fn parse(&mut self, name: &str, statement: &PreparedStatement, duplicate: bool) {
+        if duplicate {
+            // A second Parse of a name makes the server refuse it with 42P05.
+            self.ensure(statement);
+        } else if self.is_prepared(statement) {
+            let mut out = BytesMut::new();
+            frame::put_empty(&mut out, tag::PARSE_COMPLETE);
+            self.plan.push(ExpectedReply::Answer(out.freeze()));
+            return;
+        }
+        self.put_parse(statement, Some(name));
+    }
+
+    fn bind(&mut self, frame: &WireFrame, statement: Option<&PreparedStatement>) {
+        if let Some(statement) = statement {
+            self.ensure(statement);
+        }
+        let mut reader = frame.reader();
+        let (Ok(portal), Ok(name)) = (reader.text(), reader.text()) else {
+            return;
+        };
+        let server_name = server_name(statement, name);
+        let out = self.connection.compose(0);
+        frame::put_bind(out, portal, &server_name, reader.rest());
+        self.plan.push(ExpectedReply::Bind);
+    }
+
+    fn describe(&mut self, name: &str, statement: Option<&PreparedStatement>) {
+        if let Some(statement) = statement {
+            self.ensure(statement);
+        }
+        let server_name = server_name(statement, name);
+        let out = self.connection.compose(0);
+        frame::put_named(out, tag::DESCRIBE, STATEMENT, &server_name);
+        self.plan.push(ExpectedReply::Describe);
+    }
+
+    fn is_prepared(&mut self, statement: &PreparedStatement) -> bool {
+        statement.key.is_some_and(|key| {
+            self.connection.prepared().contains(&key) || self.added.contains(&key)
+        })
+    }
+
+    /// Prepares a statement that the connection does not have.
+    fn ensure(&mut self, statement: &PreparedStatement) {
+        let known = match statement.key {
+            Some(_) => self.is_prepared(statement),
+            None => self.unnamed_parsed,
+        };
+        if !known {
+            self.put_parse(statement, None);
+        }
+    }
+
+    fn put_parse(&mut self, statement: &PreparedStatement, name: Option<&str>) {
+        let out = self.connection.compose(0);
+        let server_name = statement.server_name();
+        frame::put_parse(out, &server_name, &statement.text, &statement.types);
+        match statement.key {
+            Some(key) => self.added.push(key),
+            None => self.unnamed_parsed = true,
+        }
+        self.plan.push(ExpectedReply::Parse {
+            key: statement.key,
+            name: name.map(Into::into),
+        });
+    }
+}
+
+/// Returns the server's name of a statement. An unknown one gets a name that
+/// no statement has, so that the server answers with its own error.
+fn server_name(statement: Option<&PreparedStatement>, name: &str) -> String {
+    match statement {
+        Some(statement) => statement.server_name(),
+        None => format!("?{name}"),
+    }
+}
+
+/// Answers an exchange that ran before. Rows are not recorded, so the
+/// statements are described as returning none.
+pub(super) fn put_recorded(entries: &[BatchEntry], out: &mut BytesMut, command_tag: &str) {
+    for entry in entries {
+        match entry {
+            BatchEntry::Parse { .. } => frame::put_empty(out, tag::PARSE_COMPLETE),
+            BatchEntry::Bind { .. } => frame::put_empty(out, tag::BIND_COMPLETE),
+            BatchEntry::Describe { .. } => describe_variable(out, true, None),
+            BatchEntry::Forward { reply, .. } => match reply {
+                ExpectedReply::Describe => frame::put_empty(out, tag::NO_DATA),
+                ExpectedReply::Close => frame::put_empty(out, tag::CLOSE_COMPLETE),
+                _ => frame::put_complete(out, command_tag),
+            },
+            BatchEntry::Answer(bytes) => out.extend_from_slice(bytes),
+            BatchEntry::Evaluate(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/session/refusal.rs
@@ -0,0 +1,74 @@
+//! Why a statement has no ordinary answer.
+
+use std::io;
+
+use coordination::admission::AdmissionRefusal;
+use protocol::mark::MarkError;
+use protocol::result_code::ResultCode;
+
+/// Result of a step of a statement.
+pub(crate) type Result<T> = std::result::Result<T, StepError>;
+
+/// A result code with its reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) code: ResultCode,
+    pub(crate) reason: String,
+}
+
+impl Refusal {
+    pub(crate) fn new(code: ResultCode, reason: impl Into<String>) -> Self {
+        Self {
+            code,
+            reason: reason.into(),
+        }
+    }
+}
+
+impl From<MarkError> for Refusal {
+    fn from(error: MarkError) -> Self {
+        let code = match error {
+            MarkError::BadSessionToken(_) => ResultCode::BadSessionToken,
+            _ => ResultCode::BadVariable,
+        };
+        Self::new(code, error.to_string())
+    }
+}
+
+impl From<AdmissionRefusal> for Refusal {
+    fn from(refusal: AdmissionRefusal) -> Self {
+        let code = match refusal {
+            AdmissionRefusal::QueueFull => ResultCode::QueueFull,
+            AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
+        };
+        Self::new(code, "")
+    }
+}
+
+/// Why a statement ends early.
+#[derive(Debug)]
+pub(crate) enum StepError {
+    /// The caller gets a result code.
+    Refused(Refusal),
+    /// The caller asked to cancel before anything was sent.
+    Cancelled,
+    /// The caller's connection failed; the session ends.
+    CallerGone(io::Error),
+}
+
+impl From<Refusal> for StepError {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<io::Error> for StepError {
+    fn from(error: io::Error) -> Self {
+        Self::CallerGone(error)
+    }
+}
+
+/// Shorthand for a refusal as an error.
+pub(crate) fn refuse<T>(code: ResultCode, reason: impl Into<String>) -> Result<T> {
+    Err(StepError::Refused(Refusal::new(code, reason)))
+}
--- /dev/null
+++ b/crates/transport/src/session/route.rs
@@ -0,0 +1,242 @@
+//! Finding a connection for a statement: route, admission, connection.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coordination::admission::AdmissionRequest;
+use coordination::routing::{
+    choose_read, choose_write, needs_watermark, ReadRequest, RefusalReason, RouteChoice,
+};
+use coordination::view::GroupView;
+use protocol::result_code::ResultCode;
+use state::keys::MemberKey;
+use state::log::{LogPosition, Term};
+use tokio::time::{sleep_until, timeout_at};
+
+use super::exchange::{read_position, POSITION_QUERY};
+use super::refusal::{refuse, Refusal, Result};
+use crate::caller::context::GroupContext;
+use crate::group_handle::{GroupHandle, MonitorGone};
+use crate::pool::{AdmissionPass, MemberPool, PoolError, PooledConnection};
+
+/// Pause before another watermark round is asked for the same read.
+const WATERMARK_PAUSE: Duration = Duration::from_millis(50);
+
+/// A member that was chosen for a statement.
+#[derive(Debug)]
+pub(super) struct RoutedMember {
+    pub(super) key: MemberKey,
+    pub(super) pool: Arc<MemberPool>,
+    /// Highest term when the member was chosen.
+    pub(super) term: Term,
+    pub(super) is_primary: bool,
+    /// Applied position that the choice rests on, and when it was asked.
+    applied: LogPosition,
+    reported_at: Option<Instant>,
+}
+
+/// A connection with everything that a statement needs.
+#[derive(Debug)]
+pub(super) struct AcquiredConnection {
+    pub(super) member: RoutedMember,
+    pub(super) pass: Option<AdmissionPass>,
+    pub(super) connection: PooledConnection,
+}
+
+/// Why no connection was found; nothing was sent.
+#[derive(Debug)]
+pub(super) enum AcquireFailure {
+    /// Refuse the statement.
+    Refused(Refusal),
+    /// The member could not be reached; another attempt may succeed.
+    Unreachable,
+}
+
+impl From<Refusal> for AcquireFailure {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// Chooses the member for a read.
+pub(super) async fn route_read(
+    group: &GroupContext,
+    request: &ReadRequest<'_>,
+) -> std::result::Result<RoutedMember, Refusal> {
+    let mut handle = group.handle.clone();
+    let mut next_round = Instant::now();
+    loop {
+        let view = handle.view();
+        let now = Instant::now();
+        let in_flight = |key| group.in_use(key);
+        let until = match choose_read(&view, request, now, in_flight) {
+            RouteChoice::Member(key) => return Ok(routed(group, &view, key)),
+            RouteChoice::Refuse(reason) => return Err(refusal_of(reason)),
+            RouteChoice::WaitUntil(until) => until,
+        };
+        let round = needs_watermark(&view, request, now) && now >= next_round;
+        if round {
+            next_round = now + WATERMARK_PAUSE;
+        }
+        await_change(&mut handle, until, round.then(|| group.handle.clone())).await?;
+    }
+}
+
+/// Chooses the member for a write or a transaction. `at_least` is a term that
+/// the primary must have: a primary of a lower one misses accepted writes that
+/// the session must see.
+pub(super) async fn route_write(
+    group: &GroupContext,
+    at_least: Term,
+    deadline: Instant,
+) -> std::result::Result<RoutedMember, Refusal> {
+    let mut handle = group.handle.clone();
+    loop {
+        let view = handle.view();
+        let until = match choose_write(&view, deadline, Instant::now()) {
+            RouteChoice::Member(key) if view.highest_term() >= at_least => {
+                return Ok(routed(group, &view, key));
+            }
+            RouteChoice::Refuse(reason) => return Err(refusal_of(reason)),
+            RouteChoice::Member(_) if Instant::now() >= deadline => {
+                return Err(refusal_of(RefusalReason::NoPrimary));
+            }
+            RouteChoice::Member(_) => deadline,
+            RouteChoice::WaitUntil(until) => until,
+        };
+        await_change(&mut handle, until, None).await?;
+    }
+}
+
+/// Waits for a new view, or for a watermark if `round` is given.
+async fn await_change(
+    handle: &mut GroupHandle,
+    until: Instant,
+    round: Option<GroupHandle>,
+) -> std::result::Result<(), Refusal> {
+    let watermark = async {
+        match round {
+            Some(handle) => handle.watermark().await.map(|_| ()),
+            None => std::future::pending().await,
+        }
+    };
+    let changed = tokio::select! {
+        view = handle.next_view() => view.map(|_| ()),
+        watermark = watermark => watermark,
+        () = sleep_until(until.into()) => Ok(()),
+    };
+    changed.map_err(|MonitorGone| Refusal::new(ResultCode::UnknownGroup, "the group was removed"))
+}
+
+fn routed(group: &GroupContext, view: &GroupView, key: MemberKey) -> RoutedMember {
+    let member = &view.members[key];
+    RoutedMember {
+        key,
+        pool: group.pool_of(key, member),
+        term: view.highest_term(),
+        is_primary: view.primary() == Some(key),
+        applied: member
+            .report
+            .map(|report| report.applied)
+            .unwrap_or_default(),
+        reported_at: member.reported_at,
+    }
+}
+
+fn refusal_of(reason: RefusalReason) -> Refusal {
+    let code = match reason {
+        RefusalReason::NoMemberSatisfies => ResultCode::NoFreshMember,
+        RefusalReason::NoPrimary => ResultCode::NoPrimary,
+    };
+    Refusal::new(code, "")
+}
+
+/// Waits for admission and a connection at a chosen member.
+pub(super) async fn acquire(
+    group: &GroupContext,
+    member: RoutedMember,
+    request: &AdmissionRequest,
+) -> std::result::Result<AcquiredConnection, AcquireFailure> {
+    let pass = admit(group, &member, request).await?;
+    let connection = match member.pool.check_out(request.deadline).await {
+        Ok(connection) => connection,
+        Err(PoolError::Exhausted) => {
+            let reason = "no connection became free";
+            return Err(Refusal::new(ResultCode::DeadlineTooShort, reason).into());
+        }
+        Err(PoolError::Connect(error)) => {
+            log::debug!("backend server {}: {error}", member.pool.name());
+            group.handle.suspect(member.key);
+            return Err(AcquireFailure::Unreachable);
+        }
+    };
+    Ok(AcquiredConnection {
+        member,
+        pass: Some(pass),
+        connection,
+    })
+}
+
+/// Waits in the member's queue. A queued request of a member that becomes
+/// unreachable is routed again.
+async fn admit(
+    group: &GroupContext,
+    member: &RoutedMember,
+    request: &AdmissionRequest,
+) -> std::result::Result<AdmissionPass, AcquireFailure> {
+    let mut handle = group.handle.clone();
+    let entering = member.pool.gate().enter(request);
+    tokio::pin!(entering);
+    loop {
+        tokio::select! {
+            biased;
+            entered = &mut entering => return Ok(entered.map_err(Refusal::from)?),
+            view = handle.next_view() => {
+                let view = view.map_err(|MonitorGone| AcquireFailure::Unreachable)?;
+                if !still_usable(&view, member) {
+                    return Err(AcquireFailure::Unreachable);
+                }
+            }
+        }
+    }
+}
+
+fn still_usable(view: &GroupView, member: &RoutedMember) -> bool {
+    let reachable = view
+        .members
+        .get(member.key)
+        .is_some_and(|found| found.reachable);
+    reachable && (!member.is_primary || view.primary() == Some(member.key))
+}
+
+/// Makes sure that a connection for a read leads to the state that the choice
+/// rests on. The member may have restarted with an older state after its
+/// newest report and before the connection was opened.
+pub(super) async fn verify_position(acquired: &mut AcquiredConnection, deadline: Instant) -> bool {
+    let member = &acquired.member;
+    let connection = &mut acquired.connection;
+    let reported_later = member
+        .reported_at
+        .is_some_and(|reported_at| reported_at >= connection.opened_at());
+    if reported_later || connection.known_position().reaches(member.applied) {
+        return true;
+    }
+    connection.compose_query(POSITION_QUERY);
+    if connection.send(deadline).await.is_err() {
+        return false;
+    }
+    let reading = read_position(connection, deadline).await;
+    matches!(reading, Ok(Some(reading)) if reading.position.reaches(member.applied))
+}
+
+/// Waits for a watermark that was asked after this call.
+pub(super) async fn watermark(
+    group: &GroupContext,
+    deadline: Instant,
+) -> Result<coordination::view::GroupWatermark> {
+    match timeout_at(deadline.into(), group.handle.watermark()).await {
+        Ok(Ok(watermark)) => Ok(watermark),
+        Ok(Err(MonitorGone)) => refuse(ResultCode::UnknownGroup, "the group was removed"),
+        Err(_) => refuse(ResultCode::NoFreshMember, "no majority answered"),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/session/variables.rs
@@ -0,0 +1,122 @@
+//! The proxy's variables of a session.
+
+use std::time::{Duration, Instant};
+
+use coordination::session_bound::SessionBound;
+use protocol::classify::StatementKind;
+use protocol::frame;
+use protocol::mark::{SessionVariable, VariableChange};
+use protocol::result_code::ResultCode;
+use state::request::RequestId;
+
+use super::refusal::{refuse, Refusal, Result};
+use super::route;
+use super::CallerSession;
+
+/// Values of the variables.
+#[derive(Debug, Default)]
+pub(super) struct SessionVariables {
+    /// Id of the next write; a write that ends takes it.
+    pub(super) request_id: Option<RequestId>,
+    /// Id of the last write that took one.
+    pub(super) last_request_id: Option<RequestId>,
+    pub(super) read_class: Option<String>,
+    pub(super) deadline: Option<Duration>,
+}
+
+impl SessionVariables {
+    /// Applies a change.
+    pub(super) fn apply(
+        &mut self,
+        change: VariableChange,
+        group: &str,
+        bound: &mut SessionBound,
+    ) -> std::result::Result<(), Refusal> {
+        match change {
+            VariableChange::RequestId(id) => self.request_id = id,
+            VariableChange::ReadClass(class) => self.read_class = class,
+            VariableChange::Deadline(deadline) => self.deadline = deadline,
+            // A bound never falls, so a reset has no effect.
+            VariableChange::SessionToken(None) => {}
+            VariableChange::SessionToken(Some(token)) if token.group == group => {
+                bound.note_token(token.position);
+            }
+            VariableChange::SessionToken(Some(token)) => {
+                let reason = format!("the token belongs to group {:?}", token.group);
+                return Err(Refusal::new(ResultCode::BadSessionToken, reason));
+            }
+        }
+        Ok(())
+    }
+
+    /// Enters that a write with this id has ended, so that the next write does
+    /// not conflict with it.
+    pub(super) fn spend(&mut self, id: &RequestId) {
+        if self.request_id.as_ref() == Some(id) {
+            self.request_id = None;
+        }
+        self.last_request_id = Some(id.clone());
+    }
+}
+
+impl CallerSession {
+    /// Runs a statement on a variable and adds its answer to the output.
+    /// `describe` adds the RowDescription that a simple query gets.
+    pub(super) async fn evaluate(&mut self, kind: &StatementKind, describe: bool) -> Result<()> {
+        match kind {
+            StatementKind::SetVariable(change) => {
+                let group = &self.group.name;
+                self.variables
+                    .apply(change.clone(), group, &mut self.bound)?;
+                frame::put_complete(&mut self.io.output, "SET");
+            }
+            StatementKind::ShowVariable(variable) => {
+                let value = self.value_of(*variable).await?;
+                let out = &mut self.io.output;
+                if describe {
+                    frame::put_text_description(out, variable.name());
+                }
+                frame::put_text_row(out, &value);
+                frame::put_complete(out, "SHOW");
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    async fn value_of(&mut self, variable: SessionVariable) -> Result<String> {
+        let document = self.context.current_document();
+        let deadline = Instant::now() + self.deadline_of(&document);
+        match variable {
+            SessionVariable::RequestId => {
+                let id = self.variables.request_id.as_ref();
+                Ok(id.map(ToString::to_string).unwrap_or_default())
+            }
+            SessionVariable::ReadClass => Ok(self.variables.read_class.clone().unwrap_or_default()),
+            SessionVariable::DeadlineMs => Ok(self.deadline_of(&document).as_millis().to_string()),
+            SessionVariable::SessionToken => {
+                self.ensure_bound(deadline).await?;
+                let token = self.bound.token(&self.group.name);
+                Ok(token.map(|token| token.to_string()).unwrap_or_default())
+            }
+            SessionVariable::Outcome => {
+                let id = self.variables.request_id.clone();
+                let Some(id) = id.or_else(|| self.variables.last_request_id.clone()) else {
+                    return refuse(ResultCode::BadVariable, "cassia.request_id is not set");
+                };
+                self.show_outcome(&id, deadline).await
+            }
+        }
+    }
+
+    /// Waits until the session's bound is known.
+    pub(super) async fn ensure_bound(&mut self, deadline: Instant) -> Result<()> {
+        while self.bound.needs_watermark() {
+            let watermark = route::watermark(&self.group, deadline).await?;
+            if !self.bound.note_watermark(&watermark) && Instant::now() >= deadline {
+                return refuse(ResultCode::NoFreshMember, "no majority answered");
+            }
+        }
+        Ok(())
+    }
+}
