--- a/crates/transport/src/control_client.rs
+++ b/crates/transport/src/control_client.rs
@@ -9,7 +9,9 @@
 use state::member::MemberReport;
 use tarpc::client::{self, NewClient};
 
-use crate::rpc::{frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions};
+use crate::rpc::{
+    frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions,
+};
 use crate::seam::{ControlFactory, MemberControl, Result, SeamError};
 
 /// Largest message of member control; reports take about 100 bytes.
--- a/crates/transport/src/document_follower/task.rs
+++ b/crates/transport/src/document_follower/task.rs
@@ -133,7 +133,11 @@
                 Some(result) = self.calls.join_next(), if !self.calls.is_empty() => {
                     match result {
                         Ok(result) => self.handle_result(result),
-                        Err(error) => std::panic::resume_unwind(error.into_panic()),
+                        Err(error) if error.is_panic() => {
+                            std::panic::resume_unwind(error.into_panic());
+                        }
+                        // Calls are cancelled only when the process ends.
+                        Err(_) => return,
                     }
                 }
                 () = tokio::time::sleep_until(wake) => {}
@@ -157,7 +161,10 @@
         let now = self.seams.clock.now();
         let serves = self.adoption.serving_right(now) == ServingRight::Serve;
         if serves && !self.is_serving() {
-            log::info!("document version {} is in force; serving callers", self.adoption.version());
+            log::info!(
+                "document version {} is in force; serving callers",
+                self.adoption.version()
+            );
             self.ports.serving.send_replace(true);
         }
         if !self.is_serving() && now >= self.start_at {
@@ -296,7 +303,8 @@
         let Some(stamp) = stamp else {
             return self.adoption.store_answered(&StoreAnswer::NoDocument);
         };
-        self.adoption.store_answered(&StoreAnswer::Head(stamp.clone()));
+        self.adoption
+            .store_answered(&StoreAnswer::Head(stamp.clone()));
         if self.is_newer(&stamp) {
             self.fetch(stamp.version, BodySource::Store(stamp));
         }
@@ -344,7 +352,9 @@
             OfferDecision::DigestFault { in_force } => {
                 log::error!(
                     "version {} was offered with digest {}, but digest {} is in force",
-                    stamp.version, stamp.digest, in_force.digest
+                    stamp.version,
+                    stamp.digest,
+                    in_force.digest
                 );
                 false
             }
@@ -415,7 +425,12 @@
     }
 
     fn publish(&mut self, adopted: Arc<AdoptedDocument>) {
-        let known = self.ports.documents.borrow().as_ref().map(|known| known.stamp.version);
+        let known = self
+            .ports
+            .documents
+            .borrow()
+            .as_ref()
+            .map(|known| known.stamp.version);
         // INVARIANT: the version in force only rises.
         assert!(known < Some(adopted.stamp.version), "version in force fell");
         self.ports.documents.send_replace(Some(adopted));
--- a/crates/transport/src/document_store.rs
+++ b/crates/transport/src/document_store.rs
@@ -45,9 +45,8 @@
 /// Reads the body of a version; its digest is checked.
 pub async fn read_body<O: ObjectStore>(objects: &O, stamp: &DocumentStamp) -> Result<DocumentBody> {
     let text = objects.get(&publish::body_key(stamp)).await?;
-    let text = text.ok_or_else(|| {
-        SeamError::BadAnswer(format!("version {} has no body", stamp.version))
-    })?;
+    let text =
+        text.ok_or_else(|| SeamError::BadAnswer(format!("version {} has no body", stamp.version)))?;
     check_body(DocumentBody {
         version: version_of(stamp),
         text,
--- a/crates/transport/src/membership_hub.rs
+++ b/crates/transport/src/membership_hub.rs
@@ -151,8 +151,7 @@
     /// Publishes the leaving names anew, since statements of peers expire.
     pub fn refresh(&self, now: Instant) {
         let table = self.lock();
-        let is_leaving =
-            |name: &&String| table.table.state(name, now) == MembershipState::Leaving;
+        let is_leaving = |name: &&String| table.table.state(name, now) == MembershipState::Leaving;
         let leaving: BTreeSet<String> = table.servers.iter().filter(is_leaving).cloned().collect();
         drop(table);
         self.shared.leaving.send_if_modified(|known| {
@@ -188,7 +187,9 @@
         let table = self.lock();
         let table = &table.table;
         let owned = |names: Vec<&str>| -> Vec<String> {
-            let others = names.into_iter().filter(|name| *name != self.shared.own_host);
+            let others = names
+                .into_iter()
+                .filter(|name| *name != self.shared.own_host);
             others.map(str::to_owned).collect()
         };
         let own_centre = self.shared.own_data_centre.as_str();
--- a/crates/transport/src/monitor/call.rs
+++ b/crates/transport/src/monitor/call.rs
@@ -102,10 +102,12 @@
     }
 }
 
-/// A panic in a call is a fault of the program, so it ends the monitor too.
+/// A panic in a call is a fault of the program, so it ends the monitor too. A
+/// call is cancelled only when the process ends.
 fn raise_panic(joined: std::result::Result<CallResult, JoinError>) -> CallResult {
     match joined {
         Ok(result) => result,
-        Err(error) => std::panic::resume_unwind(error.into_panic()),
+        Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
+        Err(_) => CallResult::Ignored,
     }
 }
--- a/crates/transport/src/peer/client.rs
+++ b/crates/transport/src/peer/client.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use coordination::spread::PEER_CALL_TIMEOUT;
-use protocol::peer::{
-    CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient,
-};
+use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient};
 use tarpc::client::{self, NewClient};
 
 use super::FRAME_LIMIT_BYTES;
-use crate::rpc::{frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions};
+use crate::rpc::{
+    frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions,
+};
 use crate::seam::Result;
 
 /// Calls to one other daemon; the seam of the network between daemons.
@@ -116,9 +116,7 @@
     }
 
     async fn status(&self) -> Result<DaemonStatus> {
-        let call = |client: PeerServiceClient, context| async move {
-            client.status(context).await
-        };
+        let call = |client: PeerServiceClient, context| async move { client.status(context).await };
         self.channel.call(Duration::ZERO, call).await
     }
 }
--- a/crates/transport/src/peer/own_digest.rs
+++ b/crates/transport/src/peer/own_digest.rs
@@ -45,8 +45,16 @@
             host: parts.host.clone(),
             incarnation: parts.incarnation,
             leaving: parts.leaving.load(Ordering::Relaxed),
-            document: parts.document.lock().unwrap_or_else(PoisonError::into_inner).clone(),
-            idle: parts.idle.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+            document: parts
+                .document
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone(),
+            idle: parts
+                .idle
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone(),
             leaving_servers: parts.hub.listed_leaving(),
         }
     }
@@ -58,12 +66,20 @@
 
     /// Notes the version in force.
     pub fn set_document(&self, version: DocumentVersion) {
-        let mut document = self.parts.document.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut document = self
+            .parts
+            .document
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         *document = version;
     }
 
     /// Notes the idle connections that may be borrowed.
     pub fn set_idle(&self, idle: Vec<IdleShare>) {
-        *self.parts.idle.lock().unwrap_or_else(PoisonError::into_inner) = idle;
+        *self
+            .parts
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = idle;
     }
 }
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -35,8 +35,8 @@
             .timeout(timeout)
             .build()
             .expect("a client without TLS and proxy has no part that can fail");
-        let base = Url::parse(&format!("http://{address}/"))
-            .expect("a socket address makes a valid URL");
+        let base =
+            Url::parse(&format!("http://{address}/")).expect("a socket address makes a valid URL");
         Self { client, base }
     }
 
--- a/crates/transport/src/rpc.rs
+++ b/crates/transport/src/rpc.rs
@@ -2,11 +2,11 @@
 //!
 //! Both services of the project use it: member control and the peer service.
 
-mod meter;
 mod channel;
+mod meter;
 
-pub use meter::{ControlMeter, MeteredStream};
 pub use channel::{RpcChannel, RpcConnection, RpcOptions};
+pub use meter::{ControlMeter, MeteredStream};
 
 use serde::{Deserialize, Serialize};
 use tarpc::serde_transport::Transport;
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -78,10 +78,16 @@
     pub metrics: SocketAddr,
 }
 
-struct DaemonListeners {
-    caller: TcpListener,
-    peer: TcpListener,
-    metrics: TcpListener,
+/// The listeners of a daemon. They can be bound before the document that names
+/// the peer addresses is written.
+#[derive(Debug)]
+pub struct DaemonListeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For other daemons.
+    pub peer: TcpListener,
+    /// Of the metrics.
+    pub metrics: TcpListener,
 }
 
 /// The parts that the tasks of a daemon share.
@@ -100,11 +106,12 @@
 /// Starts a daemon. It listens when this returns, and serves callers once it
 /// has a document.
 pub async fn start(settings: DaemonSettings) -> Result<DaemonHandle> {
-    let listeners = DaemonListeners {
-        caller: listen("caller_address", settings.caller_address).await?,
-        peer: listen("peer_address", settings.peer_address).await?,
-        metrics: listen("metrics_address", settings.metrics_address).await?,
-    };
+    let listeners = DaemonListeners::bind(&settings).await?;
+    Ok(start_on(settings, listeners))
+}
+
+/// Starts a daemon on listeners that are bound already.
+pub fn start_on(settings: DaemonSettings, listeners: DaemonListeners) -> DaemonHandle {
     let addresses = listeners.addresses(&settings);
     let (follower, ports) = document_follower::channels();
     let parts = DaemonParts::new(settings, follower);
@@ -114,7 +121,7 @@
     let (peer, groups) = (parts.peer.clone(), parts.groups.clone());
     let (follower, metrics) = (parts.follower.clone(), parts.metrics.clone());
     let main = shutdown::run(parts, listeners.caller, tasks, shutdown.subscribe());
-    Ok(DaemonHandle {
+    DaemonHandle {
         addresses,
         follower,
         groups,
@@ -122,18 +129,29 @@
         metrics,
         shutdown,
         main: tokio::spawn(main),
-    })
+    }
 }
 
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|error| StartError {
-        key,
-        address,
-        reason: error.to_string(),
-    })
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError {
+            key,
+            address,
+            reason: error.to_string(),
+        })
 }
 
 impl DaemonListeners {
+    /// Binds the addresses of the settings.
+    pub async fn bind(settings: &DaemonSettings) -> Result<Self> {
+        Ok(Self {
+            caller: listen("caller_address", settings.caller_address).await?,
+            peer: listen("peer_address", settings.peer_address).await?,
+            metrics: listen("metrics_address", settings.metrics_address).await?,
+        })
+    }
+
     /// Returns the real addresses; the settings may name port 0.
     fn addresses(&self, settings: &DaemonSettings) -> DaemonAddresses {
         let real = |listener: &TcpListener, set| listener.local_addr().unwrap_or(set);
@@ -181,7 +199,12 @@
         let interval = Duration::from_millis(self.settings.platform.host_list_interval_ms);
         let follower = document_follower::follow_documents(self.follower_seams(), ports);
         self.spawn(tasks, follower);
-        let watcher = watch_hosts(self.platform.clone(), self.hub.clone(), interval, SystemClock);
+        let watcher = watch_hosts(
+            self.platform.clone(),
+            self.hub.clone(),
+            interval,
+            SystemClock,
+        );
         self.spawn(tasks, watcher);
         let groups = groups::follow_groups(
             self.groups.clone(),
--- a/crates/transport/src/runtime/peer_handler.rs
+++ b/crates/transport/src/runtime/peer_handler.rs
@@ -46,7 +46,10 @@
         let handles = self.groups.handles();
         DaemonStatus {
             digest: self.digest.current(),
-            groups: handles.iter().map(|handle| group_status(&handle.view())).collect(),
+            groups: handles
+                .iter()
+                .map(|handle| group_status(&handle.view()))
+                .collect(),
             peers: self.hub.peers(Instant::now()),
             callers: 0,
         }
--- a/crates/transport/tests/monitor.rs
+++ b/crates/transport/tests/monitor.rs
@@ -14,8 +14,8 @@
 use state::log::{LogPosition, Term};
 use tokio::sync::watch;
 use transport::group_handle::{ConfirmOutcome, GroupHandle};
-use transport::monitor::{self, MonitorConfig, MonitorSeams, ProbeBudget};
 use transport::metrics::DaemonMetrics;
+use transport::monitor::{self, MonitorConfig, MonitorSeams, ProbeBudget};
 use transport::rpc::ControlMeter;
 
 /// Timing of most tests: the defaults with shorter intervals.
