--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,7 +5,19 @@
 
 pub mod backend;
 pub mod caller;
+pub mod control_client;
+pub mod document_follower;
+pub mod document_store;
 pub mod group_handle;
+pub mod host_watcher;
+pub mod logging;
+pub mod membership_hub;
+pub mod metrics;
+pub mod monitor;
+pub mod peer;
+pub mod platform;
 pub mod pool;
+pub mod rpc;
+pub mod runtime;
 pub mod seam;
 pub(crate) mod session;
--- /dev/null
+++ b/crates/transport/src/peer.rs
@@ -0,0 +1,13 @@
+//! The service between daemons: client and server over `tarpc`.
+
+mod client;
+mod own_digest;
+mod server;
+
+pub use client::{PeerChannel, PeerChannelFactory, PeerClient, PeerFactory};
+pub use own_digest::OwnDigest;
+pub use server::{serve_peers, PeerHandler};
+
+/// Largest message between daemons: a document and its envelope. The document
+/// of the target size (2,900 databases) takes about 1 MB.
+const FRAME_LIMIT_BYTES: usize = 4 * 1024 * 1024;
