--- a/crates/transport/src/document_follower/task.rs
+++ b/crates/transport/src/document_follower/task.rs
@@ -133,7 +133,11 @@
                 Some(result) = self.calls.join_next(), if !self.calls.is_empty() => {
                     match result {
                         Ok(result) => self.handle_result(result),
-                        Err(error) => std::panic::resume_unwind(error.into_panic()),
+                        Err(error) if error.is_panic() => {
+                            std::panic::resume_unwind(error.into_panic());
+                        }
+                        // Calls are cancelled only when the process ends.
+                        Err(_) => return,
                     }
                 }
                 () = tokio::time::sleep_until(wake) => {}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,8 @@
 //! Borders: carries out what `coordination` decides; makes no decision that a
 //! test without sockets could not reach.
 
+pub mod backend;
+pub mod caller;
 pub mod control_client;
 pub mod document_follower;
 pub mod document_store;
@@ -14,6 +16,8 @@
 pub mod monitor;
 pub mod peer;
 pub mod platform;
+pub mod pool;
 pub mod rpc;
 pub mod runtime;
 pub mod seam;
+pub(crate) mod session;
