--- /dev/null
+++ b/crates/cassiad/tests/command_line.rs
@@ -0,0 +1,207 @@
+//! The daemon as a process: settings check and signals.
+
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+
+const GOOD: &str = r#"
+host = "entry-1"
+data_centre = "centre-1"
+caller_address = "127.0.0.1:0"
+peer_address = "127.0.0.1:0"
+metrics_address = "127.0.0.1:0"
+
+[platform]
+address = "127.0.0.1:9"
+"#;
+
+struct SettingsFile(PathBuf);
+
+impl SettingsFile {
+    fn new(name: &str, text: &str) -> Self {
+        let name = format!("cassiad-{}-{name}.toml", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cassiad"));
+        command.arg("--settings").arg(&self.0);
+        command
+    }
+
+    fn check(&self) -> Output {
+        self.command().arg("--check").output().unwrap()
+    }
+}
+
+impl Drop for SettingsFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+struct CheckCase {
+    name: &'static str,
+    find: &'static str,
+    replace: &'static str,
+    expected: &'static [&'static str],
+}
+
+fn check_cases() -> Vec<CheckCase> {
+    vec![
+        CheckCase {
+            name: "range",
+            find: "[platform]",
+            replace: "caller_limit = 0\n[platform]\ntimeout_ms = 5",
+            expected: &[
+                "caller_limit: found 0, allowed: 1 to 1000000",
+                "platform.timeout_ms: found 5, allowed: 10 to 60000",
+            ],
+        },
+        CheckCase {
+            name: "name",
+            find: "entry-1",
+            replace: "Entry 1",
+            expected: &["host: found \"Entry 1\", allowed: 1 to 63 characters"],
+        },
+        CheckCase {
+            name: "unknown-key",
+            find: "host =",
+            replace: "hots =",
+            expected: &["hots", "unknown field"],
+        },
+        CheckCase {
+            name: "missing-key",
+            find: "data_centre = \"centre-1\"",
+            replace: "",
+            expected: &["data_centre", "missing field"],
+        },
+        CheckCase {
+            name: "bad-address",
+            find: "127.0.0.1:9",
+            replace: "localhost",
+            expected: &["address", "invalid socket address"],
+        },
+        CheckCase {
+            name: "empty-password",
+            find: "[platform]",
+            replace: "[[credential]]\nuser = \"app\"\npassword = \"\"\n[platform]",
+            expected: &["credential[0]", "a user and a password"],
+        },
+    ]
+}
+
+/// Guards against a daemon that starts with settings other than the operator
+/// meant, or that reports one problem at a time.
+#[gtest]
+fn a_bad_file_is_refused_with_all_problems() {
+    for case in check_cases() {
+        let file = SettingsFile::new(case.name, &GOOD.replacen(case.find, case.replace, 1));
+        let output = file.check();
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(output.status.success(), eq(false), "{}", case.name);
+        let path = file.0.display().to_string();
+        for expected in case.expected {
+            expect_that!(text, contains_substring(*expected), "{}", case.name);
+        }
+        expect_that!(text, contains_substring(path), "{}", case.name);
+    }
+}
+
+/// Guards against a check that refuses good files, and a missing file that is
+/// taken for an empty one.
+#[gtest]
+fn good_and_missing_files_are_told_apart() {
+    let file = SettingsFile::new("good", GOOD);
+    expect_that!(file.check().status.code(), some(eq(0)));
+    let missing = SettingsFile(std::env::temp_dir().join("cassiad-no-such-file.toml"));
+    let output = missing.check();
+    expect_that!(output.status.success(), eq(false));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(text, contains_substring("cassiad-no-such-file.toml"));
+}
+
+fn spawn(file: &SettingsFile) -> Child {
+    let mut command = file.command();
+    command
+        .stdout(Stdio::piped())
+        .arg("--log-level")
+        .arg("debug");
+    command.spawn().unwrap()
+}
+
+fn terminate(child: &Child) {
+    let pid = child.id().to_string();
+    let status = Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+    assert!(status.success());
+}
+
+fn wait_for_exit(child: &mut Child, limit: Duration) -> Option<i32> {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        if let Some(status) = child.try_wait().unwrap() {
+            return status.code();
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let _ = child.kill();
+    None
+}
+
+/// Guards against a daemon that ignores SIGTERM or dies of it without a
+/// shutdown, and against log lines that are not JSON objects.
+#[gtest]
+fn sigterm_ends_the_daemon_in_order() {
+    let file = SettingsFile::new("sigterm", GOOD);
+    let mut child = spawn(&file);
+    let mut output = BufReader::new(child.stdout.take().unwrap());
+    let mut first = String::new();
+    output.read_line(&mut first).unwrap();
+    terminate(&child);
+    expect_that!(
+        wait_for_exit(&mut child, Duration::from_secs(5)),
+        some(eq(0))
+    );
+    let mut rest = String::new();
+    output.read_to_string(&mut rest).unwrap();
+    expect_that!(rest, contains_substring("shutting down"));
+    for line in first.lines().chain(rest.lines()) {
+        let parsed: std::result::Result<serde_json::Value, _> = serde_json::from_str(line);
+        expect_that!(
+            parsed.is_ok_and(|value| value.is_object()),
+            eq(true),
+            "{line}"
+        );
+    }
+}
+
+/// Guards against a daemon that runs on without one of its listeners.
+#[gtest]
+fn a_taken_address_ends_the_start() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let text = GOOD.replace(
+        "peer_address = \"127.0.0.1:0\"",
+        &format!("peer_address = \"{address}\""),
+    );
+    let file = SettingsFile::new("taken", &text);
+    let mut child = spawn(&file);
+    expect_that!(
+        wait_for_exit(&mut child, Duration::from_secs(5)),
+        some(eq(1))
+    );
+    let mut output = String::new();
+    child
+        .stdout
+        .take()
+        .unwrap()
+        .read_to_string(&mut output)
+        .unwrap();
+    expect_that!(output, contains_substring("peer_address"));
+    expect_that!(output, contains_substring(address));
+}
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -113,6 +113,13 @@
 /// Starts a daemon on listeners that are bound already.
 pub fn start_on(settings: DaemonSettings, listeners: DaemonListeners) -> DaemonHandle {
     let addresses = listeners.addresses(&settings);
+    log::info!(
+        "host {} listens on {} for callers, {} for peers, {} for metrics",
+        settings.host,
+        addresses.caller,
+        addresses.peer,
+        addresses.metrics
+    );
     let (follower, ports) = document_follower::channels();
     let parts = DaemonParts::new(settings, follower);
     let shutdown = Arc::new(watch::Sender::new(false));
