Stall the replication relay where a test cuts a primary off

Cause: the stand-in now has a relay of its own for replication, so stalling the control relay alone left the replicas hearing the primary, and no daemon may promote then. Change: the two cut-off tests stall and heal that relay too. Conclusion: the rule that a heard primary is kept works; the tests now cut it.

--- a/crates/transport/tests/failover.rs
+++ b/crates/transport/tests/failover.rs
@@ -91,6 +91,7 @@
         PrimaryFault::CutOff => {
             let relays = bed.cluster.relays(PRIMARY).unwrap();
             relays.control.set_stalled(true);
+            relays.replication.set_stalled(true);
             relays.statements.set_stalled(true);
         }
     }
@@ -137,6 +138,7 @@
     );
     let relays = bed.cluster.relays(PRIMARY).unwrap();
     relays.control.set_stalled(false);
+    relays.replication.set_stalled(false);
     relays.statements.set_stalled(false);
     let follows = || {
         let report = bed.cluster.server(PRIMARY).unwrap().report();
