--- a/crates/transport/src/caller.rs
+++ b/crates/transport/src/caller.rs
@@ -17,6 +17,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
@@ -45,7 +46,7 @@
                 }
             },
             Some(_) = sessions.join_next() => {}
-            _ = shutdown.wait_for(|stopping| *stopping) => break,
+            () = stopped(&mut shutdown) => break,
         }
     }
     drop(listener);
@@ -58,6 +59,11 @@
     }
 }
 
+/// Waits until the daemon shuts down.
+async fn stopped(shutdown: &mut watch::Receiver<bool>) {
+    let _ = shutdown.wait_for(|stopping| *stopping).await;
+}
+
 fn start_session(sessions: &mut JoinSet<()>, stream: TcpStream, context: &Arc<CallerContext>) {
     if sessions.len() as u64 >= context.settings.caller_limit {
         sessions.spawn(refuse_connection(stream));
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here is global, so that several daemons can run in one process.
 
+mod callers;
+mod cancel_forwarder;
 mod groups;
 mod peer_handler;
 mod shutdown;
@@ -10,15 +12,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use protocol::peer::DaemonStatus;
+use protocol::peer::{CancelKey, DaemonStatus};
 use state::clock::SystemClock;
 use state::settings::DaemonSettings;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::caller::metrics::CallerMetrics;
 use crate::control_client::MemberClientFactory;
-use crate::document_follower::{self, AdoptedDocument, FollowerHandle, FollowerSeams};
+use crate::document_follower::{
+    self, AdoptedDocument, FollowerHandle, FollowerPorts, FollowerSeams,
+};
 use crate::group_handle::GroupHandle;
 use crate::host_watcher::watch_hosts;
 use crate::membership_hub::MembershipHub;
@@ -28,7 +33,9 @@
 use crate::platform::PlatformClient;
 use crate::rpc::ControlMeter;
 
-use groups::GroupTable;
+use callers::CallerSide;
+use cancel_forwarder::{forward_cancels, CANCEL_BUFFER};
+use groups::{follow_groups, GroupSides, GroupTable};
 use peer_handler::DaemonPeer;
 
 /// Result of starting a daemon.
@@ -100,9 +107,19 @@
     metrics: Arc<DaemonMetrics>,
     follower: FollowerHandle,
     groups: GroupTable,
+    callers: CallerSide,
+    /// Turns true when the first document was applied.
+    ready: watch::Receiver<bool>,
     peer: Arc<DaemonPeer>,
 }
 
+/// The receiving ends of a daemon's own channels.
+struct DaemonPorts {
+    follower: FollowerPorts,
+    cancels: mpsc::Receiver<CancelKey>,
+    ready: watch::Sender<bool>,
+}
+
 /// Starts a daemon. It listens when this returns, and serves callers once it
 /// has a document.
 pub async fn start(settings: DaemonSettings) -> Result<DaemonHandle> {
@@ -120,9 +137,8 @@
         addresses.peer,
         addresses.metrics
     );
-    let (follower, ports) = document_follower::channels();
-    let parts = DaemonParts::new(settings, follower);
     let shutdown = Arc::new(watch::Sender::new(false));
+    let (parts, ports) = DaemonParts::new(settings, shutdown.subscribe());
     let mut tasks = JoinSet::new();
     parts.spawn_control(&mut tasks, ports, listeners.peer, listeners.metrics);
     let (peer, groups) = (parts.peer.clone(), parts.groups.clone());
@@ -171,40 +187,57 @@
 }
 
 impl DaemonParts {
-    fn new(settings: DaemonSettings, follower: FollowerHandle) -> Self {
+    fn new(settings: DaemonSettings, shutdown: watch::Receiver<bool>) -> (Self, DaemonPorts) {
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         let meter = ControlMeter::default();
+        let metrics = DaemonMetrics::with_meter(meter.clone());
+        let caller_metrics = CallerMetrics::new(metrics.registry())
+            .expect("names of the metrics differ from those of the control side");
+        let (follower, follower_ports) = document_follower::channels();
+        let (cancel_elsewhere, cancels) = mpsc::channel(CANCEL_BUFFER);
+        let (ready_sender, ready) = watch::channel(false);
+        let callers = CallerSide::new(settings.clone(), caller_metrics, shutdown, cancel_elsewhere);
         let hub = MembershipHub::new(&settings.host, &settings.data_centre);
         let digest = OwnDigest::new(&settings.host, hub.clone());
         let groups = GroupTable::default();
-        Self {
+        let peer = DaemonPeer {
+            digest: digest.clone(),
+            follower: follower.clone(),
+            hub: hub.clone(),
+            groups: groups.clone(),
+            callers: callers.clone(),
+        };
+        let parts = Self {
             platform: PlatformClient::new(settings.platform.address, timeout),
-            metrics: Arc::new(DaemonMetrics::with_meter(meter.clone())),
-            peer: Arc::new(DaemonPeer {
-                digest: digest.clone(),
-                follower: follower.clone(),
-                hub: hub.clone(),
-                groups: groups.clone(),
-            }),
+            metrics: Arc::new(metrics),
+            peer: Arc::new(peer),
             settings,
             meter,
             hub,
             digest,
             follower,
             groups,
-        }
+            callers,
+            ready,
+        };
+        let ports = DaemonPorts {
+            follower: follower_ports,
+            cancels,
+            ready: ready_sender,
+        };
+        (parts, ports)
     }
 
     /// Spawns everything but the service of callers.
     fn spawn_control(
         &self,
         tasks: &mut JoinSet<()>,
-        ports: document_follower::FollowerPorts,
+        ports: DaemonPorts,
         peer_listener: TcpListener,
         metrics_listener: TcpListener,
     ) {
         let interval = Duration::from_millis(self.settings.platform.host_list_interval_ms);
-        let follower = document_follower::follow_documents(self.follower_seams(), ports);
+        let follower = document_follower::follow_documents(self.follower_seams(), ports.follower);
         self.spawn(tasks, follower);
         let watcher = watch_hosts(
             self.platform.clone(),
@@ -213,16 +246,24 @@
             SystemClock,
         );
         self.spawn(tasks, watcher);
-        let groups = groups::follow_groups(
-            self.groups.clone(),
-            self.settings.host.clone(),
-            self.monitor_seams(),
-            self.follower.documents.clone(),
-            self.hub.leaving(),
-        );
+        let sides = GroupSides {
+            host: self.settings.host.clone(),
+            monitors: self.groups.clone(),
+            callers: self.callers.clone(),
+            ready: ports.ready,
+        };
+        let documents = self.follower.documents.clone();
+        let groups = follow_groups(sides, self.monitor_seams(), documents, self.hub.leaving());
         self.spawn(tasks, groups);
         let peers = serve_peers(peer_listener, self.peer.clone(), self.meter.clone());
         self.spawn(tasks, peers);
+        let cancels = forward_cancels(
+            ports.cancels,
+            PeerChannelFactory::new(self.meter.clone()),
+            self.follower.clone(),
+            self.hub.clone(),
+        );
+        self.spawn(tasks, cancels);
         tasks.spawn(serve_metrics(metrics_listener, self.metrics.clone()));
     }
 
--- /dev/null
+++ b/crates/transport/src/runtime/callers.rs
@@ -0,0 +1,118 @@
+//! The callers' side of a daemon: its context and the groups in it.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, OnceLock};
+
+use protocol::peer::CancelKey;
+use state::settings::DaemonSettings;
+use tokio::sync::{mpsc, watch};
+
+use super::groups::GroupTable;
+use crate::caller::context::{CallerContext, DocumentInForce, GroupContext};
+use crate::caller::metrics::CallerMetrics;
+use crate::document_follower::AdoptedDocument;
+
+/// The context of caller sessions, which exists once there is a document; the
+/// clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct CallerSide {
+    parts: Arc<CallerParts>,
+}
+
+#[derive(Debug)]
+struct CallerParts {
+    settings: DaemonSettings,
+    metrics: CallerMetrics,
+    shutdown: watch::Receiver<bool>,
+    cancel_elsewhere: mpsc::Sender<CancelKey>,
+    running: OnceLock<RunningCallers>,
+}
+
+#[derive(Debug)]
+struct RunningCallers {
+    context: Arc<CallerContext>,
+    document: watch::Sender<Arc<DocumentInForce>>,
+}
+
+impl CallerSide {
+    /// Builds the side of a daemon that has no document yet.
+    pub(super) fn new(
+        settings: DaemonSettings,
+        metrics: CallerMetrics,
+        shutdown: watch::Receiver<bool>,
+        cancel_elsewhere: mpsc::Sender<CancelKey>,
+    ) -> Self {
+        Self {
+            parts: Arc::new(CallerParts {
+                settings,
+                metrics,
+                shutdown,
+                cancel_elsewhere,
+                running: OnceLock::new(),
+            }),
+        }
+    }
+
+    /// Returns the context, once there is a document.
+    pub(super) fn context(&self) -> Option<&Arc<CallerContext>> {
+        self.parts.running.get().map(|running| &running.context)
+    }
+
+    /// Returns the number of caller connections.
+    pub(super) fn count(&self) -> u64 {
+        u64::try_from(self.parts.metrics.callers.get()).unwrap_or(0)
+    }
+
+    /// Takes over a document. Groups that stay keep their pools and sessions.
+    pub(super) fn apply(&self, adopted: &AdoptedDocument, groups: &GroupTable) {
+        let in_force = Arc::new(DocumentInForce {
+            version: adopted.stamp.version,
+            document: adopted.document.clone(),
+        });
+        let parts = &self.parts;
+        let running = parts.running.get_or_init(|| parts.start(in_force.clone()));
+        running.document.send_if_modified(|known| {
+            let differs = known.version != in_force.version;
+            *known = in_force;
+            differs
+        });
+        running.apply_groups(adopted, groups);
+    }
+}
+
+impl CallerParts {
+    fn start(&self, in_force: Arc<DocumentInForce>) -> RunningCallers {
+        let (document, documents) = watch::channel(in_force);
+        let settings = self.settings.clone();
+        let shutdown = self.shutdown.clone();
+        let mut context = CallerContext::new(settings, documents, shutdown, self.metrics.clone());
+        context.cancel_elsewhere = Some(self.cancel_elsewhere.clone());
+        RunningCallers {
+            context: Arc::new(context),
+            document,
+        }
+    }
+}
+
+impl RunningCallers {
+    fn apply_groups(&self, adopted: &AdoptedDocument, groups: &GroupTable) {
+        let document = &adopted.document;
+        let queue_length = document.limits.queue_length as usize;
+        let named: BTreeSet<&str> = document.group.iter().map(|one| one.name.as_str()).collect();
+        for known in self.context.groups() {
+            if !named.contains(known.name.as_str()) {
+                self.context.remove_group(&known.name);
+            }
+        }
+        for name in named {
+            if let Some(known) = self.context.find_group(name) {
+                known.set_queue_length(queue_length);
+                continue;
+            }
+            if let Some(handle) = groups.find(name) {
+                let group = GroupContext::new(name, handle, document);
+                self.context.set_group(group);
+            }
+        }
+    }
+}
--- a/crates/transport/src/runtime/groups.rs
+++ b/crates/transport/src/runtime/groups.rs
@@ -6,6 +6,7 @@
 use state::clock::MonotonicClock;
 use tokio::sync::watch;
 
+use super::callers::CallerSide;
 use crate::document_follower::AdoptedDocument;
 use crate::group_handle::GroupHandle;
 use crate::monitor::{self, MonitorConfig, MonitorSeams};
@@ -71,15 +72,32 @@
         }
     }
 
+    /// Ends all monitors.
+    pub(super) fn clear(&self) {
+        self.lock().clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, RunningGroup>> {
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Keeps the monitors in step with the document and the leaving servers.
+/// What [`follow_groups`] keeps in step.
+pub(super) struct GroupSides {
+    /// Name of the daemon's host.
+    pub(super) host: String,
+    /// The monitors.
+    pub(super) monitors: GroupTable,
+    /// The callers' side.
+    pub(super) callers: CallerSide,
+    /// Turns true when the first document was applied.
+    pub(super) ready: watch::Sender<bool>,
+}
+
+/// Keeps monitors and callers in step with the document and the leaving
+/// servers.
 pub(super) async fn follow_groups<F, T, C>(
-    table: GroupTable,
-    host: String,
+    sides: GroupSides,
     seams: MonitorSeams<F, T, C>,
     mut documents: watch::Receiver<Option<Arc<AdoptedDocument>>>,
     mut leaving: watch::Receiver<BTreeSet<String>>,
@@ -93,7 +111,10 @@
         let names = leaving.borrow_and_update().clone();
         if let Some(adopted) = adopted {
             seams.metrics.set_document_version(adopted.stamp.version);
-            table.apply(&host, &adopted, &names, &seams);
+            let monitors = &sides.monitors;
+            monitors.apply(&sides.host, &adopted, &names, &seams);
+            sides.callers.apply(&adopted, monitors);
+            sides.ready.send_replace(true);
         }
         tokio::select! {
             changed = documents.changed() => if changed.is_err() { return },
--- a/crates/transport/src/runtime/peer_handler.rs
+++ b/crates/transport/src/runtime/peer_handler.rs
@@ -5,6 +5,7 @@
 use coordination::view::GroupView;
 use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, GroupStatus, PeerDigest};
 
+use super::callers::CallerSide;
 use super::groups::GroupTable;
 use crate::document_follower::FollowerHandle;
 use crate::document_store::version_of;
@@ -18,6 +19,7 @@
     pub(super) follower: FollowerHandle,
     pub(super) hub: MembershipHub,
     pub(super) groups: GroupTable,
+    pub(super) callers: CallerSide,
 }
 
 impl PeerHandler for DaemonPeer {
@@ -34,8 +36,11 @@
         })
     }
 
-    async fn cancel(&self, _key: CancelKey) -> bool {
-        false
+    async fn cancel(&self, key: CancelKey) -> bool {
+        match self.callers.context() {
+            Some(context) => context.cancels.cancel(key).await,
+            None => false,
+        }
     }
 
     async fn lend_connections(&self, _member: &str, _count: u32) -> u32 {
@@ -51,7 +56,7 @@
                 .map(|handle| group_status(&handle.view()))
                 .collect(),
             peers: self.hub.peers(Instant::now()),
-            callers: 0,
+            callers: self.callers.count(),
         }
     }
 }
--- a/crates/transport/src/runtime/shutdown.rs
+++ b/crates/transport/src/runtime/shutdown.rs
@@ -1,29 +1,50 @@
 //! The life of a daemon from its first document to its graceful shutdown.
 
-use std::time::Duration;
-
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::DaemonParts;
-
-/// Drain deadline of a daemon that has no document yet.
-const DRAIN_WITHOUT_DOCUMENT: Duration = Duration::from_millis(100);
+use crate::caller::serve_callers;
 
 /// Runs a daemon until it has shut down; then its tasks end.
+///
+/// Monitors, follower and peer server go on while sessions drain, because
+/// commits in flight still need their confirmation.
 pub(super) async fn run(
     parts: DaemonParts,
-    callers: TcpListener,
+    listener: TcpListener,
     control: JoinSet<()>,
     mut shutdown: watch::Receiver<bool>,
 ) {
+    let callers = tokio::select! {
+        callers = start_callers(&parts, listener) => Some(callers),
+        _ = shutdown.wait_for(|shutdown| *shutdown) => None,
+    };
     let _ = shutdown.wait_for(|shutdown| *shutdown).await;
-    log::info!("shutting down");
+    log::info!("shutting down: telling the peers and finishing transactions in flight");
     parts.digest.set_leaving();
     parts.follower.announce_leaving();
-    drop(callers);
-    tokio::time::sleep(DRAIN_WITHOUT_DOCUMENT).await;
+    if let Some(mut callers) = callers {
+        while callers.join_next().await.is_some() {}
+    }
     drop(control);
+    parts.groups.clear();
     log::info!("shut down");
 }
+
+/// Starts to accept callers once the document in force is known to be the
+/// newest. Until then connections wait in the listener's backlog.
+async fn start_callers(parts: &DaemonParts, listener: TcpListener) -> JoinSet<()> {
+    let mut serving = parts.follower.serving.clone();
+    let mut callers = JoinSet::new();
+    if serving.wait_for(|serving| *serving).await.is_err() {
+        return callers;
+    }
+    let mut ready = parts.ready.clone();
+    let _ = ready.wait_for(|ready| *ready).await;
+    if let Some(context) = parts.callers.context() {
+        callers.spawn(serve_callers(listener, context.clone()));
+    }
+    callers
+}
