Add the quickstart: a whole site in one process

Cause: nothing started the system with one command. Change: standin::site starts a cluster with a daemon on each entry host; the quickstart example prints the caller endpoints and has a self-check.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod cluster;
 pub mod platform;
 pub mod relay;
+pub mod site;
