coordination: await the commit directly above a member's log

Cause: every confirmation took until the next probe, 228 to 249 ms. next_await searched from (reached + 1, null ticket), and the null ticket sorts behind every real one, so the next commit in line was never awaited. Reads with staleness 0 took as long, because a new view ended the wait for their watermark. Change: search from the reached position; the read keeps its watermark request while views change (GroupHandle::request_watermark, mark_view). Conclusion: confirmations and fresh reads no longer wait for a probe.

--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -160,14 +160,12 @@
             term: progress.promised,
             offset: 0,
         });
-        let above = LogPosition {
-            term: lowest.term,
-            offset: lowest.offset + 1,
-        };
+        // The null ticket sorts behind every real one at its position, so the
+        // range must not begin at the position that is looked for.
         self.by_position
-            .range((above, ConfirmTicket::default())..)
-            .next()
+            .range((lowest, ConfirmTicket::default())..)
             .map(|&(position, _)| position)
+            .find(|position| *position > lowest)
     }
 
     /// Returns the number of pending commits.
--- a/crates/transport/src/group_handle.rs
+++ b/crates/transport/src/group_handle.rs
@@ -74,6 +74,12 @@
         self.views.borrow().clone()
     }
 
+    /// Returns the newest view and marks it as seen, so that
+    /// [`Self::next_view`] waits for a later one.
+    pub fn mark_view(&mut self) -> Arc<GroupView> {
+        self.views.borrow_and_update().clone()
+    }
+
     /// Waits for a view that differs from the last one that this handle saw.
     pub async fn next_view(&mut self) -> Result<Arc<GroupView>> {
         self.views.changed().await.map_err(|_| MonitorGone)?;
@@ -87,6 +93,15 @@
         answer.await.map_err(|_| MonitorGone)
     }
 
+    /// Asks for a watermark without waiting for it. The request counts even if
+    /// other events end a wait in between; dropping the receiver withdraws it.
+    pub fn request_watermark(&self) -> Result<oneshot::Receiver<GroupWatermark>> {
+        let (reply, answer) = oneshot::channel();
+        let request = MonitorRequest::Watermark { reply };
+        self.requests.try_send(request).map_err(|_| MonitorGone)?;
+        Ok(answer)
+    }
+
     /// Waits until a commit is confirmed or its deadline has passed.
     pub async fn confirm(&self, position: LogPosition, deadline: Instant) -> ConfirmOutcome {
         let (reply, answer) = oneshot::channel();
--- a/crates/transport/src/session/route.rs
+++ b/crates/transport/src/session/route.rs
@@ -7,10 +7,11 @@
 use coordination::routing::{
     choose_read, choose_write, needs_watermark, ReadRequest, RefusalReason, RouteChoice,
 };
-use coordination::view::GroupView;
+use coordination::view::{GroupView, GroupWatermark};
 use protocol::result_code::ResultCode;
 use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
+use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout_at};
 
 use super::exchange::{read_position, POSITION_QUERY};
@@ -64,9 +65,9 @@
     request: &ReadRequest<'_>,
 ) -> std::result::Result<RoutedMember, Refusal> {
     let mut handle = group.handle.clone();
-    let mut next_round = Instant::now();
+    let mut round = WatermarkWait::default();
     loop {
-        let view = handle.view();
+        let view = handle.mark_view();
         let now = Instant::now();
         let in_flight = |key| group.in_use(key);
         let until = match choose_read(&view, request, now, in_flight) {
@@ -74,11 +75,40 @@
             RouteChoice::Refuse(reason) => return Err(refusal_of(reason)),
             RouteChoice::WaitUntil(until) => until,
         };
-        let round = needs_watermark(&view, request, now) && now >= next_round;
-        if round {
-            next_round = now + WATERMARK_PAUSE;
+        if needs_watermark(&view, request, now) {
+            round.ask(&group.handle, now);
+        }
+        await_change(&mut handle, until, &mut round).await?;
+    }
+}
+
+/// A watermark that a read waits for. It stays asked for while the view
+/// changes.
+#[derive(Default)]
+struct WatermarkWait {
+    answer: Option<oneshot::Receiver<GroupWatermark>>,
+    next_at: Option<Instant>,
+}
+
+impl WatermarkWait {
+    fn ask(&mut self, handle: &GroupHandle, now: Instant) {
+        if self.answer.is_some() || self.next_at.is_some_and(|next| now < next) {
+            return;
+        }
+        self.next_at = Some(now + WATERMARK_PAUSE);
+        self.answer = handle.request_watermark().ok();
+    }
+
+    /// Waits until the watermark has arrived. A failed round, or a busy
+    /// monitor, is asked again later.
+    async fn arrived(&mut self) {
+        match self.answer.as_mut() {
+            Some(answer) => {
+                let _ = answer.await;
+                self.answer = None;
+            }
+            None => std::future::pending().await,
         }
-        await_change(&mut handle, until, round.then(|| group.handle.clone())).await?;
     }
 }
 
@@ -92,7 +122,7 @@
 ) -> std::result::Result<RoutedMember, Refusal> {
     let mut handle = group.handle.clone();
     loop {
-        let view = handle.view();
+        let view = handle.mark_view();
         let until = match choose_write(&view, deadline, Instant::now()) {
             RouteChoice::Member(key) if view.highest_term() >= at_least => {
                 return Ok(routed(group, &view, key));
@@ -104,25 +134,19 @@
             RouteChoice::Member(_) => deadline,
             RouteChoice::WaitUntil(until) => until,
         };
-        await_change(&mut handle, until, None).await?;
+        await_change(&mut handle, until, &mut WatermarkWait::default()).await?;
     }
 }
 
-/// Waits for a new view, or for a watermark if `round` is given.
+/// Waits for a new view or a watermark.
 async fn await_change(
     handle: &mut GroupHandle,
     until: Instant,
-    round: Option<GroupHandle>,
+    round: &mut WatermarkWait,
 ) -> std::result::Result<(), Refusal> {
-    let watermark = async {
-        match round {
-            Some(handle) => handle.watermark().await.map(|_| ()),
-            None => std::future::pending().await,
-        }
-    };
     let changed = tokio::select! {
         view = handle.next_view() => view.map(|_| ()),
-        watermark = watermark => watermark,
+        () = round.arrived() => Ok(()),
         () = sleep_until(until.into()) => Ok(()),
     };
     changed.map_err(|MonitorGone| Refusal::new(ResultCode::UnknownGroup, "the group was removed"))
@@ -185,6 +209,9 @@
     request: &AdmissionRequest,
 ) -> std::result::Result<AdmissionPass, AcquireFailure> {
     let mut handle = group.handle.clone();
+    if !still_usable(&handle.mark_view(), member) {
+        return Err(AcquireFailure::Unreachable);
+    }
     let entering = member.pool.gate().enter(request);
     tokio::pin!(entering);
     loop {
@@ -230,10 +257,7 @@
 }
 
 /// Waits for a watermark that was asked after this call.
-pub(super) async fn watermark(
-    group: &GroupContext,
-    deadline: Instant,
-) -> Result<coordination::view::GroupWatermark> {
+pub(super) async fn watermark(group: &GroupContext, deadline: Instant) -> Result<GroupWatermark> {
     match timeout_at(deadline.into(), group.handle.watermark()).await {
         Ok(Ok(watermark)) => Ok(watermark),
         Ok(Err(MonitorGone)) => refuse(ResultCode::UnknownGroup, "the group was removed"),
