--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -199,7 +199,8 @@
         let opened = CallerSession::open(context, start, self.io);
         let mut session = match opened {
             Ok(session) => session,
-            Err((io, refusal)) => {
+            Err(refused) => {
+                let (io, refusal) = *refused;
                 self.io = io;
                 return self.refuse(&refusal).await;
             }
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -33,13 +33,14 @@
 use protocol::result_code::ResultCode;
 use state::keys::CustomerKey;
 
-use crate::backend::{STATUS_FAILED, STATUS_IDLE};
+use crate::backend::{STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION};
 use crate::caller::cancel::CancelSlot;
 use crate::caller::context::{CallerContext, DocumentInForce, GroupContext};
 use batch::{BatchEntry, BatchState};
 use io::CallerIo;
 use pin::PinnedConnection;
 use policy::ReadPolicy;
+use recorded::run_queries;
 use refusal::{refuse, Refusal, StepError};
 use variables::SessionVariables;
 use work::{Work, WorkSummary};
@@ -52,6 +53,12 @@
 const CONNECTION_FAILURE: &str = "08006";
 /// SQLSTATE of a protocol violation.
 const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE of a prepared statement whose name is in use.
+const DUPLICATE_STATEMENT: &str = "42P05";
+/// Query that no server can run, to fail a transaction.
+const FAILING_QUERY: &str = "cassia_refused_statement";
+/// Longest time to fail a transaction.
+const FAIL_TIMEOUT: Duration = Duration::from_secs(1);
 /// SQLSTATE of a statement in a failed transaction.
 const FAILED_TRANSACTION: &str = "25P02";
 
@@ -64,6 +71,13 @@
     pub(crate) changes: Vec<VariableChange>,
 }
 
+/// Whether the caller knows that its transaction was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LostTransaction {
+    Unreported,
+    Reported,
+}
+
 /// A caller that is logged in.
 #[derive(Debug)]
 pub(crate) struct CallerSession {
@@ -78,7 +92,7 @@
     batch: BatchState,
     pin: Option<PinnedConnection>,
     /// A transaction was lost with its connection and not ended by the caller.
-    lost_transaction: bool,
+    lost: Option<LostTransaction>,
     /// Frames are skipped until Sync.
     skip_to_sync: bool,
     /// The session must end after the current answer.
@@ -98,13 +112,13 @@
         context: Arc<CallerContext>,
         start: SessionStart,
         io: CallerIo,
-    ) -> Result<Box<Self>, (CallerIo, Refusal)> {
+    ) -> Result<Box<Self>, Box<(CallerIo, Refusal)>> {
         let mut variables = SessionVariables::default();
         let mut bound = SessionBound::begin(start.began_at);
         for change in start.changes {
             let applied = variables.apply(change, &start.group.name, &mut bound);
             if let Err(refusal) = applied {
-                return Err((io, refusal));
+                return Err(Box::new((io, refusal)));
             }
         }
         let customer_key = context.customer_key(&start.customer);
@@ -120,7 +134,7 @@
             variables,
             batch: BatchState::default(),
             pin: None,
-            lost_transaction: false,
+            lost: None,
             skip_to_sync: false,
             must_end: false,
             cancel,
@@ -298,7 +312,8 @@
             self.batch.clear();
         }
         let in_pipeline = self.pin.as_ref().is_some_and(|pin| pin.in_batch);
-        if self.batch.entries.is_empty() && !in_pipeline {
+        let is_empty = self.batch.entries.is_empty() && self.batch.duplicate.is_none();
+        if is_empty && !in_pipeline {
             return self.finish(true).await;
         }
         match self.run_batch(true).await {
@@ -309,11 +324,32 @@
 
     async fn run_batch(&mut self, synced: bool) -> refusal::Result<()> {
         let mut entries = std::mem::take(&mut self.batch.entries);
+        let ran = self.run_entries(&mut entries, synced).await;
+        if ran.is_err() {
+            // The caller sees one error only, so its Parse frames failed too.
+            for entry in &entries {
+                if let BatchEntry::Parse { name, .. } = entry {
+                    self.batch.forget(name);
+                }
+            }
+        }
+        ran
+    }
+
+    async fn run_entries(
+        &mut self,
+        entries: &mut [BatchEntry],
+        synced: bool,
+    ) -> refusal::Result<()> {
         let summary = std::mem::take(&mut self.batch.summary);
         let executed = std::mem::take(&mut self.batch.executed);
+        let duplicate = self.batch.duplicate.take();
         self.batch.clear();
+        if let Some(name) = duplicate {
+            return Err(StepError::DuplicateName(name));
+        }
         let floor = self.io.output.len();
-        for entry in &mut entries {
+        for entry in &mut *entries {
             if let BatchEntry::Evaluate(statement) = entry {
                 let statement = statement.clone();
                 let start = self.io.output.len();
@@ -330,7 +366,7 @@
             .iter()
             .all(|entry| matches!(entry, BatchEntry::Answer(_)));
         if is_local && !in_pipeline {
-            for entry in &entries {
+            for entry in &*entries {
                 if let BatchEntry::Answer(bytes) = entry {
                     self.io.output.extend_from_slice(bytes);
                 }
@@ -341,10 +377,7 @@
             .iter()
             .flat_map(|statement| statement.class.kinds.iter().cloned())
             .collect();
-        let work = Work::Batch {
-            entries: &entries,
-            synced,
-        };
+        let work = Work::Batch { entries, synced };
         self.run_checked(&work, summary, &kinds).await
     }
 
@@ -387,8 +420,8 @@
         policy: &ReadPolicy,
         started: Instant,
     ) -> refusal::Result<()> {
-        if self.lost_transaction {
-            return self.run_in_lost_transaction(work, summary);
+        if let Some(lost) = self.lost {
+            return self.run_in_lost_transaction(lost, work, summary);
         }
         let deadline = started + policy.statement;
         if self.pin.is_some() {
@@ -403,14 +436,23 @@
     /// Behaves like a failed transaction until the caller ends it.
     fn run_in_lost_transaction(
         &mut self,
+        lost: LostTransaction,
         work: &Work<'_>,
         summary: &WorkSummary,
     ) -> refusal::Result<()> {
         let ends = (summary.commits || summary.rolls_back) && summary.statements == 1;
         if ends && work.is_synced() {
-            self.lost_transaction = false;
-            work.put_recorded(&mut self.io.output, "ROLLBACK");
-            return Ok(());
+            self.lost = None;
+            // A commit must not look accepted to a caller that does not know.
+            if summary.rolls_back || lost == LostTransaction::Reported {
+                work.put_recorded(&mut self.io.output, "ROLLBACK");
+                return Ok(());
+            }
+            return refuse(ResultCode::TransactionLost, "its connection was lost");
+        }
+        if lost == LostTransaction::Unreported {
+            self.lost = Some(LostTransaction::Reported);
+            return refuse(ResultCode::TransactionLost, "its connection was lost");
         }
         frame::put_error(
             &mut self.io.output,
@@ -426,7 +468,7 @@
     fn status(&self) -> u8 {
         match &self.pin {
             Some(pin) => pin.connection.status(),
-            None if self.lost_transaction => STATUS_FAILED,
+            None if self.lost.is_some() => STATUS_FAILED,
             None => STATUS_IDLE,
         }
     }
@@ -455,11 +497,37 @@
                 let message = "canceling statement due to user request";
                 frame::put_error(out, ErrorSeverity::Error, CANCELLED, message, "");
             }
+            StepError::DuplicateName(name) => {
+                let message = format!("prepared statement {name:?} already exists");
+                frame::put_error(out, ErrorSeverity::Error, DUPLICATE_STATEMENT, &message, "");
+            }
         }
+        self.fail_transaction().await;
         self.skip_to_sync = !synced;
         self.finish(synced).await
     }
 
+    /// Fails the open transaction after the proxy refused a statement in it. A
+    /// caller that ignores the error must not commit the rest.
+    async fn fail_transaction(&mut self) {
+        let Some(pin) = self.pin.as_mut() else {
+            return;
+        };
+        if pin.in_batch {
+            self.lose_pin();
+            return;
+        }
+        if pin.connection.status() != STATUS_TRANSACTION {
+            return;
+        }
+        let deadline = Instant::now() + FAIL_TIMEOUT;
+        let failed = run_queries(&mut pin.connection, &[FAILING_QUERY], deadline).await;
+        if failed.is_err() || pin.connection.status() != STATUS_FAILED {
+            self.lose_pin();
+            self.lost = self.lost.map(|_| LostTransaction::Reported);
+        }
+    }
+
     async fn end_with(&mut self, sqlstate: &str, reason: &str) -> IoResult<()> {
         self.must_end = true;
         let out = &mut self.io.output;
@@ -472,7 +540,7 @@
         let Some(pin) = self.pin.take() else {
             return;
         };
-        self.lost_transaction = pin.in_transaction();
+        self.lost = pin.in_transaction().then_some(LostTransaction::Unreported);
         // The caller's database session is gone with its state.
         self.must_end |= pin.keeps_session;
         pin.connection.close();
--- a/crates/transport/src/session/batch.rs
+++ b/crates/transport/src/session/batch.rs
@@ -77,8 +77,6 @@
         name: Box<str>,
         /// The statement.
         statement: Arc<PreparedStatement>,
-        /// Whether the name is in use, which the server must refuse.
-        duplicate: bool,
     },
     /// Binds a portal.
     Bind {
@@ -121,6 +119,8 @@
     pub(super) executed: Vec<Arc<PreparedStatement>>,
     /// Bytes of the frames.
     pub(super) bytes: usize,
+    /// Name that a Parse gave although it is in use.
+    pub(super) duplicate: Option<Box<str>>,
 }
 
 impl BatchState {
@@ -142,6 +142,7 @@
         self.executed = Vec::new();
         self.summary = WorkSummary::default();
         self.bytes = 0;
+        self.duplicate = None;
     }
 
     /// Forgets the portals, which end with their transaction.
@@ -159,6 +160,10 @@
         let name = reader.text()?;
         let text = reader.text()?;
         let types = reader.rest();
+        if !name.is_empty() && self.statements.contains_key(name) {
+            self.duplicate = Some(name.into());
+            return Ok(());
+        }
         let statement = Arc::new(PreparedStatement {
             key: (!name.is_empty()).then(|| content_key(text, types)),
             text: text.into(),
@@ -171,7 +176,6 @@
             self.entries.push(BatchEntry::Parse {
                 name: name.into(),
                 statement: statement.clone(),
-                duplicate: !name.is_empty() && self.statements.contains_key(name),
             });
         }
         self.statements.insert(name.into(), statement);
@@ -310,11 +314,7 @@
 impl BatchEncoder<'_> {
     fn encode(&mut self, entry: &BatchEntry) {
         match entry {
-            BatchEntry::Parse {
-                name,
-                statement,
-                duplicate,
-            } => self.parse(name, statement, *duplicate),
+            BatchEntry::Parse { name, statement } => self.parse(name, statement),
             BatchEntry::Bind { frame, statement } => self.bind(frame, statement.as_deref()),
             BatchEntry::Describe { name, statement } => self.describe(name, statement.as_deref()),
             BatchEntry::Forward { frame, reply } => {
@@ -327,11 +327,8 @@
         }
     }
 
-    fn parse(&mut self, name: &str, statement: &PreparedStatement, duplicate: bool) {
-        if duplicate {
-            // A second Parse of a name makes the server refuse it with 42P05.
-            self.ensure(statement);
-        } else if self.is_prepared(statement) {
+    fn parse(&mut self, name: &str, statement: &PreparedStatement) {
+        if self.is_prepared(statement) {
             let mut out = BytesMut::new();
             frame::put_empty(&mut out, tag::PARSE_COMPLETE);
             self.plan.push(ExpectedReply::Answer(out.freeze()));
--- a/crates/transport/src/session/exchange.rs
+++ b/crates/transport/src/session/exchange.rs
@@ -212,7 +212,10 @@
     ) -> Result<(), RelayError> {
         let ended = plan.take_ended(frame.tag());
         match frame.tag() {
-            tag::READY => return Ok(()),
+            tag::READY => {
+                plan.end();
+                return Ok(());
+            }
             tag::ERROR => {
                 self.note_error(frame);
                 self.report.failed_names.extend(plan.skip_to_sync());
--- a/crates/transport/src/session/plan.rs
+++ b/crates/transport/src/session/plan.rs
@@ -66,6 +66,12 @@
         self.replies.push_back(reply);
     }
 
+    /// Ends the plan at ReadyForQuery. After an error the server may leave out
+    /// replies in front of it.
+    pub(super) fn end(&mut self) {
+        self.replies.clear();
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.replies.is_empty()
     }
--- a/crates/transport/src/session/primary.rs
+++ b/crates/transport/src/session/primary.rs
@@ -124,6 +124,8 @@
                 for name in &report.failed_names {
                     self.batch.forget(name);
                 }
+                // The server ignores everything up to Sync after an error.
+                self.skip_to_sync |= report.error.is_some() && !order.work.is_synced();
                 Ok(Ok(report))
             }
             Err(ExchangeFailure::Caller(error)) => Err(StepError::CallerGone(error)),
--- a/crates/transport/src/session/work.rs
+++ b/crates/transport/src/session/work.rs
@@ -129,6 +129,11 @@
         !self.writes && plain && !self.opaque && !self.pins
     }
 
+    /// Tells whether other statements stand beside a rollback.
+    pub(super) fn rolls_back_and_goes_on(&self) -> bool {
+        self.rolls_back && self.statements > 1
+    }
+
     /// Tells whether a transaction may end in it.
     pub(super) fn may_end(&self) -> bool {
         self.commits || self.rolls_back || self.opaque
--- a/crates/transport/src/session/write.rs
+++ b/crates/transport/src/session/write.rs
@@ -15,7 +15,7 @@
 use super::refusal::{refuse, Result, StepError};
 use super::route::{self, AcquireFailure, AcquiredConnection};
 use super::work::{Work, WorkSummary};
-use super::CallerSession;
+use super::{CallerSession, LostTransaction};
 use crate::backend::STATUS_IDLE;
 
 /// SQLSTATE of a unique violation: the request id is recorded already.
@@ -163,7 +163,7 @@
             // The member is no longer primary. Closing the connection ends
             // the transaction; its commit was not sent.
             self.pin = Some(pin);
-            return self.lose_transaction("the primary was replaced");
+            return self.lose_transaction(work, summary, "the primary was replaced");
         }
         let id = self.id_to_record(&pin, summary)?;
         let prefix = prefix_of(&pin, id.as_ref(), summary);
@@ -196,9 +196,7 @@
                 Ok(())
             }
             PrimaryEnd::Failed { error, .. } => {
-                let commits = place.wrote && summary.may_end();
-                self.fail_pinned(pin, summary, error, commits, deadline)
-                    .await
+                self.fail_pinned(pin, work, summary, error, deadline).await
             }
         }
     }
@@ -262,21 +260,22 @@
     async fn fail_pinned(
         &mut self,
         pin: PinnedConnection,
+        work: &Work<'_>,
         summary: &WorkSummary,
         error: ErrorClass,
-        commits: bool,
         deadline: Instant,
     ) -> Result<()> {
         self.group.handle.suspect(pin.member);
-        let in_transaction = pin.in_transaction();
         let recorded = pin.recorded.clone();
-        let may_have_committed = commits || (!in_transaction && (summary.writes || pin.wrote));
+        let writes = pin.wrote || summary.writes || summary.opaque;
+        let ends = summary.commits || summary.opaque || summary.rolls_back_and_goes_on();
+        let may_have_committed = writes && (ends || !pin.in_transaction());
         self.pin = Some(pin);
         if !may_have_committed {
-            return self.lose_transaction("its connection was lost");
+            return self.lose_transaction(work, summary, "its connection was lost");
         }
         self.lose_pin();
-        self.lost_transaction = false;
+        self.lost = None;
         if let Some(id) = recorded {
             self.variables.spend(&id);
             return self.resolve_commit(&id, summary, deadline).await;
@@ -289,8 +288,24 @@
     }
 
     /// Closes the pinned connection of a transaction whose commit was not sent.
-    fn lose_transaction(&mut self, reason: &str) -> Result<()> {
+    fn lose_transaction(
+        &mut self,
+        work: &Work<'_>,
+        summary: &WorkSummary,
+        reason: &str,
+    ) -> Result<()> {
         self.lose_pin();
+        if self.lost.is_some() {
+            self.lost = Some(LostTransaction::Reported);
+        }
+        if summary.commits || summary.rolls_back {
+            // The caller ends the transaction, which is gone already.
+            self.lost = None;
+        }
+        if summary.rolls_back && !summary.rolls_back_and_goes_on() {
+            work.put_recorded(&mut self.io.output, "ROLLBACK");
+            return Ok(());
+        }
         refuse(ResultCode::TransactionLost, reason)
     }
 }
