Await the commit that directly follows a reported position

Cause: ConfirmTracker::next_await searched from (offset + 1, default ticket). The default ticket of slotmap orders behind all real ones, so a commit at exactly that offset was never awaited and its confirmation waited for the next probe. Change: the search starts at the reported position and takes the first higher one. Conclusion: confirmations no longer depend on the probe interval.

--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -160,14 +160,12 @@
             term: progress.promised,
             offset: 0,
         });
-        let above = LogPosition {
-            term: lowest.term,
-            offset: lowest.offset + 1,
-        };
+        // The default ticket orders behind all real ones, so a range from the
+        // next offset with that ticket would skip the commits at that offset.
         self.by_position
-            .range((above, ConfirmTicket::default())..)
-            .next()
+            .range((lowest, ConfirmTicket::default())..)
             .map(|&(position, _)| position)
+            .find(|position| *position > lowest)
     }
 
     /// Returns the number of pending commits.
--- a/crates/transport/tests/monitor.rs
+++ b/crates/transport/tests/monitor.rs
@@ -26,6 +26,13 @@
     lease_ms: 1_000,
 };
 
+/// Timing of tests in which probes must play no part.
+const SLOW_PROBES: FailoverTiming = FailoverTiming {
+    probe_interval_ms: 2_000,
+    suspect_after_ms: 5_000,
+    ..TIMING
+};
+
 fn start(
     group: &FakeGroup,
     table: FakeTable,
@@ -129,18 +136,30 @@
     expect_that!(group.poll_count(), le(20));
 }
 
+/// Guards against confirmations that wait for the next probe.
+#[gtest]
+#[tokio::test]
+async fn a_commit_is_confirmed_between_two_probes() {
+    let group = FakeGroup::new(3);
+    let (_config, handle) = start(&group, FakeTable::default(), SLOW_PROBES);
+    for _ in 0..5 {
+        handle.watermark().await.unwrap();
+        let start = Instant::now();
+        let deadline = start + Duration::from_secs(1);
+        let outcome = handle.confirm(group.write(0), deadline).await;
+        let confirmed = matches!(outcome, ConfirmOutcome::Confirmed { .. });
+        expect_that!(confirmed, eq(true));
+        expect_that!(start.elapsed(), lt(Duration::from_millis(200)));
+    }
+}
+
 /// Guards against one majority round per session, and against a watermark that
 /// misses a write accepted before it was asked for.
 #[gtest]
 #[tokio::test]
 async fn one_round_serves_all_waiting_requests() {
     let group = FakeGroup::new(3);
-    let slow_probes = FailoverTiming {
-        probe_interval_ms: 2_000,
-        suspect_after_ms: 5_000,
-        ..TIMING
-    };
-    let (_config, handle) = start(&group, FakeTable::default(), slow_probes);
+    let (_config, handle) = start(&group, FakeTable::default(), SLOW_PROBES);
     handle.watermark().await.unwrap();
     let written = group.write(0);
     let before = group.report_count();
