Keep connection shares between daemons

Cause: each host used a fixed part of a server's connection limit, also that of dead hosts. Change: the peer service gains grant_shares, and borrow_connections takes the borrower, its process and the number of the loan, which coordination::shares needs; share_hub and share_keeper carry out grants, takeover rows, loans and the pools' limits. The own takeover row is cleared only at the revision that the host knew when it decided to.

--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -101,6 +101,63 @@
     pub text: String,
 }
 
+/// Asks a peer whether the sender may use the connections whose heir the peer
+/// is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct GrantRequest {
+    /// Name of the sender's host.
+    pub host: String,
+    /// Random number of the sender's process.
+    pub incarnation: u64,
+    /// Document version that the sender has in force.
+    pub version: u64,
+}
+
+/// Answer to a [`GrantRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct GrantReply {
+    /// Random number of the answering process.
+    pub incarnation: u64,
+    /// Whether the grant is given. Otherwise the peer still closes connections,
+    /// or has no document yet.
+    pub granted: bool,
+    /// Whether no host outside of the peer's document can still hold a share.
+    pub vouches: bool,
+    /// Document version that the peer has in force.
+    pub version: u64,
+    /// Whether the peer has had the sender's version for so long that all
+    /// hosts have adopted it.
+    pub settled: bool,
+}
+
+/// Asks a peer to lend idle connections.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct BorrowRequest {
+    /// Name of the borrower's host.
+    pub host: String,
+    /// Random number of the borrower's process.
+    pub incarnation: u64,
+    /// Number of the loan, unique among the borrower's loans.
+    pub loan: u64,
+    /// Name of the backend server.
+    pub member: String,
+    /// Connections wanted.
+    pub count: u32,
+}
+
+/// Answer to a [`BorrowRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct BorrowReply {
+    /// Random number of the lender's process.
+    pub incarnation: u64,
+    /// Connections lent.
+    pub count: u32,
+}
+
 /// Calls between daemons.
 #[tarpc::service]
 pub trait PeerService {
@@ -110,9 +167,10 @@
     async fn fetch_document(version: u64) -> Option<DocumentBody>;
     /// Cancels the statement of a session; returns whether it was found here.
     async fn cancel(key: CancelKey) -> bool;
-    /// Lends up to `count` idle connections at `member` for `LOAN_DURATION`;
-    /// returns how many.
-    async fn borrow_connections(member: String, count: u32) -> u32;
+    /// Grants the use of connection shares.
+    async fn grant_shares(request: GrantRequest) -> GrantReply;
+    /// Lends idle connections for `LOAN_DURATION`.
+    async fn borrow_connections(request: BorrowRequest) -> BorrowReply;
     /// Returns the daemon's state.
     async fn status() -> DaemonStatus;
 }
--- a/crates/transport/src/document_follower.rs
+++ b/crates/transport/src/document_follower.rs
@@ -4,7 +4,6 @@
 //! fetches their bodies and puts the newest in force. Its calls run as tasks of
 //! their own, so that neither the store nor a peer holds up the others.
 
-mod clients;
 mod task;
 
 use std::net::SocketAddr;
--- a/crates/transport/src/document_follower/task.rs
+++ b/crates/transport/src/document_follower/task.rs
@@ -18,11 +18,10 @@
 use state::document::IntentDocument;
 use tokio::task::JoinSet;
 
-use super::clients::ClientCache;
 use super::{AdoptedDocument, FollowerEvent, FollowerPorts, FollowerSeams};
 use crate::document_store::{self, stamp_of, version_of};
 use crate::membership_hub::LivePeers;
-use crate::peer::{PeerClient, PeerFactory};
+use crate::peer::{ClientCache, PeerClient, PeerFactory};
 use crate::seam::{ObjectStore, Result, SeamError, TableService};
 
 /// Interval at which a starting daemon asks the store and the seeds again.
--- a/crates/transport/src/peer.rs
+++ b/crates/transport/src/peer.rs
@@ -1,10 +1,12 @@
 //! The service between daemons: client and server over `tarpc`.
 
 mod client;
+mod client_cache;
 mod own_digest;
 mod server;
 
 pub use client::{PeerChannel, PeerChannelFactory, PeerClient, PeerFactory};
+pub(crate) use client_cache::ClientCache;
 pub use own_digest::OwnDigest;
 pub use server::{serve_peers, PeerHandler};
 
--- a/crates/transport/src/peer/client.rs
+++ b/crates/transport/src/peer/client.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use coordination::spread::PEER_CALL_TIMEOUT;
-use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerServiceClient};
+use protocol::peer::{
+    BorrowReply, BorrowRequest, CancelKey, DaemonStatus, DocumentBody, GrantReply, GrantRequest,
+    PeerDigest, PeerServiceClient,
+};
 use tarpc::client::{self, NewClient};
 
 use super::FRAME_LIMIT_BYTES;
@@ -25,12 +28,16 @@
     ) -> impl Future<Output = Result<Option<DocumentBody>>> + Send;
     /// Cancels the statement of a session; returns whether it was found.
     fn cancel(&self, key: CancelKey) -> impl Future<Output = Result<bool>> + Send;
-    /// Borrows idle connections; returns how many.
+    /// Asks for the use of connection shares.
+    fn grant_shares(
+        &self,
+        request: GrantRequest,
+    ) -> impl Future<Output = Result<GrantReply>> + Send;
+    /// Borrows idle connections.
     fn borrow_connections(
         &self,
-        member: &str,
-        count: u32,
-    ) -> impl Future<Output = Result<u32>> + Send;
+        request: BorrowRequest,
+    ) -> impl Future<Output = Result<BorrowReply>> + Send;
     /// Returns the daemon's state.
     fn status(&self) -> impl Future<Output = Result<DaemonStatus>> + Send;
 }
@@ -107,10 +114,16 @@
         self.channel.call(Duration::ZERO, call).await
     }
 
-    async fn borrow_connections(&self, member: &str, count: u32) -> Result<u32> {
-        let member = member.to_owned();
+    async fn grant_shares(&self, request: GrantRequest) -> Result<GrantReply> {
+        let call = move |client: PeerServiceClient, context| async move {
+            client.grant_shares(context, request).await
+        };
+        self.channel.call(Duration::ZERO, call).await
+    }
+
+    async fn borrow_connections(&self, request: BorrowRequest) -> Result<BorrowReply> {
         let call = move |client: PeerServiceClient, context| async move {
-            client.borrow_connections(context, member, count).await
+            client.borrow_connections(context, request).await
         };
         self.channel.call(Duration::ZERO, call).await
     }
--- a/crates/transport/src/document_follower/clients.rs
+++ b/crates/transport/src/peer/client_cache.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::peer::PeerFactory;
+use super::PeerFactory;
 
 /// Clients that are kept. Partners are chosen at random among all daemons, so
 /// keeping all would open a connection to each of them.
@@ -11,13 +11,13 @@
 
 /// A bounded set of clients.
 #[derive(Debug)]
-pub(super) struct ClientCache<P: PeerFactory> {
+pub(crate) struct ClientCache<P: PeerFactory> {
     factory: P,
     clients: BTreeMap<SocketAddr, P::Client>,
 }
 
 impl<P: PeerFactory> ClientCache<P> {
-    pub(super) fn new(factory: P) -> Self {
+    pub(crate) fn new(factory: P) -> Self {
         Self {
             factory,
             clients: BTreeMap::new(),
@@ -25,7 +25,7 @@
     }
 
     /// Returns the client of a peer.
-    pub(super) fn client(&mut self, address: SocketAddr) -> P::Client {
+    pub(crate) fn client(&mut self, address: SocketAddr) -> P::Client {
         if let Some(client) = self.clients.get(&address) {
             return client.clone();
         }
--- a/crates/transport/src/peer/own_digest.rs
+++ b/crates/transport/src/peer/own_digest.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Returns the name of the host.
+    pub fn host(&self) -> &str {
+        &self.parts.host
+    }
+
+    /// Returns the random number of the process.
+    pub fn incarnation(&self) -> u64 {
+        self.parts.incarnation
+    }
+
     /// Notes that the daemon is shutting down.
     pub fn set_leaving(&self) {
         self.parts.leaving.store(true, Ordering::Relaxed);
--- a/crates/transport/src/peer/server.rs
+++ b/crates/transport/src/peer/server.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, PeerDigest, PeerService};
+use protocol::peer::{
+    BorrowReply, BorrowRequest, CancelKey, DaemonStatus, DocumentBody, GrantReply, GrantRequest,
+    PeerDigest, PeerService,
+};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
@@ -35,8 +38,10 @@
     fn document(&self, version: u64) -> Option<DocumentBody>;
     /// Cancels the statement of a session; returns whether it was found here.
     fn cancel(&self, key: CancelKey) -> impl Future<Output = bool> + Send;
-    /// Lends idle connections; returns how many.
-    fn lend_connections(&self, member: &str, count: u32) -> impl Future<Output = u32> + Send;
+    /// Grants the use of connection shares.
+    fn grant_shares(&self, request: &GrantRequest) -> GrantReply;
+    /// Lends idle connections.
+    fn lend_connections(&self, request: &BorrowRequest) -> BorrowReply;
     /// Returns the daemon's state.
     fn status(&self) -> DaemonStatus;
 }
@@ -62,8 +67,12 @@
         self.0.cancel(key).await
     }
 
-    async fn borrow_connections(self, _: Context, member: String, count: u32) -> u32 {
-        self.0.lend_connections(&member, count).await
+    async fn grant_shares(self, _: Context, request: GrantRequest) -> GrantReply {
+        self.0.grant_shares(&request)
+    }
+
+    async fn borrow_connections(self, _: Context, request: BorrowRequest) -> BorrowReply {
+        self.0.lend_connections(&request)
     }
 
     async fn status(self, _: Context) -> DaemonStatus {
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -6,11 +6,14 @@
 mod cancel_forwarder;
 mod groups;
 mod peer_handler;
+mod share_hub;
+mod share_keeper;
 mod shutdown;
+mod takeover;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use protocol::peer::{CancelKey, DaemonStatus};
 use state::clock::SystemClock;
@@ -37,6 +40,8 @@
 use cancel_forwarder::{forward_cancels, CANCEL_BUFFER};
 use groups::{follow_groups, GroupSides, GroupTable};
 use peer_handler::DaemonPeer;
+use share_hub::ShareHub;
+use share_keeper::{keep_shares, KeeperSeams};
 
 /// Result of starting a daemon.
 pub type Result<T> = std::result::Result<T, StartError>;
@@ -108,6 +113,7 @@
     follower: FollowerHandle,
     groups: GroupTable,
     callers: CallerSide,
+    shares: ShareHub,
     /// Turns true when the first document was applied.
     ready: watch::Receiver<bool>,
     peer: Arc<DaemonPeer>,
@@ -200,12 +206,14 @@
         let hub = MembershipHub::new(&settings.host, &settings.data_centre);
         let digest = OwnDigest::new(&settings.host, hub.clone());
         let groups = GroupTable::default();
+        let shares = ShareHub::new(digest.clone(), hub.clone());
         let peer = DaemonPeer {
             digest: digest.clone(),
             follower: follower.clone(),
             hub: hub.clone(),
             groups: groups.clone(),
             callers: callers.clone(),
+            shares: shares.clone(),
         };
         let parts = Self {
             platform: PlatformClient::new(settings.platform.address, timeout),
@@ -218,6 +226,7 @@
             follower,
             groups,
             callers,
+            shares,
             ready,
         };
         let ports = DaemonPorts {
@@ -250,6 +259,7 @@
             host: self.settings.host.clone(),
             monitors: self.groups.clone(),
             callers: self.callers.clone(),
+            shares: self.shares.clone(),
             ready: ports.ready,
         };
         let documents = self.follower.documents.clone();
@@ -257,6 +267,16 @@
         self.spawn(tasks, groups);
         let peers = serve_peers(peer_listener, self.peer.clone(), self.meter.clone());
         self.spawn(tasks, peers);
+        let shares = keep_shares(KeeperSeams {
+            shares: self.shares.clone(),
+            callers: self.callers.clone(),
+            follower: self.follower.clone(),
+            hub: self.hub.clone(),
+            table: self.platform.clone(),
+            peers: PeerChannelFactory::new(self.meter.clone()),
+            digest: self.digest.clone(),
+        });
+        self.spawn(tasks, shares);
         let cancels = forward_cancels(
             ports.cancels,
             PeerChannelFactory::new(self.meter.clone()),
@@ -324,6 +344,11 @@
         self.peer.status()
     }
 
+    /// Returns how many connections to a backend server the daemon may open now.
+    pub fn connection_allowance(&self, member: &str) -> u32 {
+        self.peer.shares.allowance(member, Instant::now())
+    }
+
     /// Returns the daemon's metrics.
     pub fn metrics(&self) -> &DaemonMetrics {
         &self.metrics
--- a/crates/transport/src/runtime/callers.rs
+++ b/crates/transport/src/runtime/callers.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::groups::GroupTable;
+use super::share_hub::ShareHub;
 use crate::caller::context::{CallerContext, DocumentInForce, GroupContext};
 use crate::caller::metrics::CallerMetrics;
 use crate::document_follower::AdoptedDocument;
@@ -64,7 +65,7 @@
     }
 
     /// Takes over a document. Groups that stay keep their pools and sessions.
-    pub(super) fn apply(&self, adopted: &AdoptedDocument, groups: &GroupTable) {
+    pub(super) fn apply(&self, adopted: &AdoptedDocument, groups: &GroupTable, shares: &ShareHub) {
         let in_force = Arc::new(DocumentInForce {
             version: adopted.stamp.version,
             document: adopted.document.clone(),
@@ -76,7 +77,7 @@
             *known = in_force;
             differs
         });
-        running.apply_groups(adopted, groups);
+        running.apply_groups(adopted, groups, shares);
     }
 }
 
@@ -95,7 +96,7 @@
 }
 
 impl RunningCallers {
-    fn apply_groups(&self, adopted: &AdoptedDocument, groups: &GroupTable) {
+    fn apply_groups(&self, adopted: &AdoptedDocument, groups: &GroupTable, shares: &ShareHub) {
         let document = &adopted.document;
         let queue_length = document.limits.queue_length as usize;
         let named: BTreeSet<&str> = document.group.iter().map(|one| one.name.as_str()).collect();
@@ -111,6 +112,7 @@
             }
             if let Some(handle) = groups.find(name) {
                 let group = GroupContext::new(name, handle, document);
+                shares.apply_to(&group);
                 self.context.set_group(group);
             }
         }
--- a/crates/transport/src/runtime/groups.rs
+++ b/crates/transport/src/runtime/groups.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use state::clock::MonotonicClock;
 use tokio::sync::watch;
 
 use super::callers::CallerSide;
+use super::share_hub::ShareHub;
 use crate::document_follower::AdoptedDocument;
 use crate::group_handle::GroupHandle;
 use crate::monitor::{self, MonitorConfig, MonitorSeams};
@@ -90,6 +92,8 @@
     pub(super) monitors: GroupTable,
     /// The callers' side.
     pub(super) callers: CallerSide,
+    /// The connection shares.
+    pub(super) shares: ShareHub,
     /// Turns true when the first document was applied.
     pub(super) ready: watch::Sender<bool>,
 }
@@ -113,7 +117,8 @@
             seams.metrics.set_document_version(adopted.stamp.version);
             let monitors = &sides.monitors;
             monitors.apply(&sides.host, &adopted, &names, &seams);
-            sides.callers.apply(&adopted, monitors);
+            sides.shares.apply_document(&adopted, Instant::now());
+            sides.callers.apply(&adopted, monitors, &sides.shares);
             sides.ready.send_replace(true);
         }
         tokio::select! {
--- a/crates/transport/src/runtime/peer_handler.rs
+++ b/crates/transport/src/runtime/peer_handler.rs
@@ -3,10 +3,14 @@
 use std::time::Instant;
 
 use coordination::view::GroupView;
-use protocol::peer::{CancelKey, DaemonStatus, DocumentBody, GroupStatus, PeerDigest};
+use protocol::peer::{
+    BorrowReply, BorrowRequest, CancelKey, DaemonStatus, DocumentBody, GrantReply, GrantRequest,
+    GroupStatus, PeerDigest,
+};
 
 use super::callers::CallerSide;
 use super::groups::GroupTable;
+use super::share_hub::ShareHub;
 use crate::document_follower::FollowerHandle;
 use crate::document_store::version_of;
 use crate::membership_hub::MembershipHub;
@@ -20,6 +24,7 @@
     pub(super) hub: MembershipHub,
     pub(super) groups: GroupTable,
     pub(super) callers: CallerSide,
+    pub(super) shares: ShareHub,
 }
 
 impl PeerHandler for DaemonPeer {
@@ -43,8 +48,12 @@
         }
     }
 
-    async fn lend_connections(&self, _member: &str, _count: u32) -> u32 {
-        0
+    fn grant_shares(&self, request: &GrantRequest) -> GrantReply {
+        self.shares.grant(request, Instant::now())
+    }
+
+    fn lend_connections(&self, request: &BorrowRequest) -> BorrowReply {
+        self.shares.lend(request, Instant::now())
     }
 
     fn status(&self) -> DaemonStatus {
--- /dev/null
+++ b/crates/transport/src/runtime/share_hub.rs
@@ -0,0 +1,275 @@
+//! The connection shares of a daemon, used by its keeper and by its peers'
+//! calls.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use coordination::membership::MembershipState;
+use coordination::shares::{
+    GrantAnswer, GrantNote, GrantedLoan, LoanId, LoanRequest, MemberLayout, ServingHost,
+    ShareAction, ShareTable, DOCUMENT_SETTLE,
+};
+use protocol::peer::{BorrowReply, BorrowRequest, GrantReply, GrantRequest, IdleShare};
+use state::document::{GroupMember, IntentDocument};
+
+use crate::caller::context::{GroupContext, MemberShare};
+use crate::document_follower::AdoptedDocument;
+use crate::membership_hub::MembershipHub;
+use crate::peer::OwnDigest;
+
+/// Statements in flight per slot of the host's share. One statement executes
+/// while the next one travels.
+const IN_FLIGHT_PER_SLOT: u64 = 2;
+
+/// The share table, which exists once there is a document; its clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct ShareHub {
+    digest: OwnDigest,
+    hub: MembershipHub,
+    state: Arc<Mutex<Option<HubState>>>,
+}
+
+#[derive(Debug)]
+struct HubState {
+    table: ShareTable,
+    version: u64,
+    adopted_at: Instant,
+    members: BTreeMap<String, GroupMember>,
+    /// Entry hosts by name, with their data centre.
+    hosts: Vec<ServingHost>,
+    /// Connections that are open.
+    open: BTreeMap<String, u32>,
+}
+
+impl ShareHub {
+    /// Builds the hub of a daemon without a document.
+    pub(super) fn new(digest: OwnDigest, hub: MembershipHub) -> Self {
+        Self {
+            digest,
+            hub,
+            state: Arc::default(),
+        }
+    }
+
+    /// Takes over a document.
+    pub(super) fn apply_document(&self, adopted: &AdoptedDocument, now: Instant) {
+        let document = &adopted.document;
+        let takeover_after = Duration::from_secs(document.limits.takeover_after_s);
+        let mut state = self.lock();
+        let state = state.get_or_insert_with(|| HubState {
+            table: ShareTable::new(self.digest.host(), takeover_after, now),
+            version: 0,
+            adopted_at: now,
+            members: BTreeMap::new(),
+            hosts: Vec::new(),
+            open: BTreeMap::new(),
+        });
+        if state.version != adopted.stamp.version {
+            state.version = adopted.stamp.version;
+            state.adopted_at = now;
+            state.apply(document, now);
+        }
+    }
+
+    /// Gives a group the shares of its members.
+    pub(super) fn apply_to(&self, group: &GroupContext) {
+        let now = Instant::now();
+        let view = group.handle.view();
+        let state = self.lock();
+        let Some(state) = state.as_ref() else {
+            return;
+        };
+        for member in view.members.values() {
+            let share = state.share_of(&member.name, self.live_hosts(now), now);
+            group.set_share(&member.name, share);
+        }
+    }
+
+    /// Notes how many connections to a member are open.
+    pub(super) fn set_open(&self, member: &str, count: u32) {
+        if let Some(state) = self.lock().as_mut() {
+            state.table.set_in_use(member, count);
+            state.open.insert(member.to_owned(), count);
+        }
+    }
+
+    /// Returns how many connections to a member may be open.
+    pub(super) fn allowance(&self, member: &str, now: Instant) -> u32 {
+        let state = self.lock();
+        let allowance = state
+            .as_ref()
+            .map(|state| state.table.allowance(member, now));
+        allowance.unwrap_or(0)
+    }
+
+    /// Returns the connections of the own share that are not open.
+    pub(super) fn idle(&self, now: Instant) -> Vec<IdleShare> {
+        let state = self.lock();
+        let Some(state) = state.as_ref() else {
+            return Vec::new();
+        };
+        let idle = |member: &String| {
+            let open = state.open.get(member).copied().unwrap_or(0);
+            let count = state.table.allowance(member, now).saturating_sub(open);
+            (count > 0).then(|| IdleShare {
+                member: member.clone(),
+                count,
+            })
+        };
+        state.members.keys().filter_map(idle).collect()
+    }
+
+    /// Returns the steps that are due.
+    pub(super) fn due(&self, now: Instant) -> Vec<ShareAction> {
+        let is_gone = |host: &str| {
+            let state = self.hub.state(host, now);
+            matches!(state, MembershipState::Suspected | MembershipState::Absent)
+        };
+        let mut state = self.lock();
+        let due = state.as_mut().map(|state| state.table.due(is_gone, now));
+        due.unwrap_or_default()
+    }
+
+    /// Answers a peer's request for a grant.
+    pub(super) fn grant(&self, request: &GrantRequest, now: Instant) -> GrantReply {
+        let mut state = self.lock();
+        let mut reply = GrantReply {
+            incarnation: self.digest.incarnation(),
+            granted: false,
+            vouches: false,
+            version: 0,
+            settled: false,
+        };
+        let Some(state) = state.as_mut() else {
+            return reply;
+        };
+        let answer = state
+            .table
+            .answer_grant(&request.host, request.incarnation, now);
+        let waited = now.saturating_duration_since(state.adopted_at);
+        reply.version = state.version;
+        reply.settled = state.version == request.version && waited >= DOCUMENT_SETTLE;
+        if let GrantAnswer::Granted { vouches } = answer {
+            reply.granted = true;
+            reply.vouches = vouches;
+        }
+        reply
+    }
+
+    /// Notes a peer's answer to a request for a grant.
+    pub(super) fn note_grant(&self, peer: &str, reply: &GrantReply, sent_at: Instant) {
+        let mut state = self.lock();
+        let Some(state) = state.as_mut() else {
+            return;
+        };
+        if !reply.granted {
+            state.table.note_releasing(Instant::now());
+            return;
+        }
+        state.table.note_grant(&GrantNote {
+            peer,
+            sent_at,
+            same_document: reply.vouches && reply.version >= state.version,
+            settled: reply.settled,
+        });
+    }
+
+    /// Lends idle connections to a peer.
+    pub(super) fn lend(&self, request: &BorrowRequest, now: Instant) -> BorrowReply {
+        let loan = LoanRequest {
+            borrower: &request.host,
+            incarnation: request.incarnation,
+            id: LoanId(request.loan),
+            count: request.count,
+        };
+        let mut state = self.lock();
+        let lent = state
+            .as_mut()
+            .map(|state| state.table.lend(&request.member, &loan, now));
+        BorrowReply {
+            incarnation: self.digest.incarnation(),
+            count: lent.unwrap_or(0),
+        }
+    }
+
+    /// Notes a loan that a peer granted.
+    pub(super) fn note_loan(&self, member: &str, loan: &GrantedLoan<'_>) {
+        if let Some(state) = self.lock().as_mut() {
+            state.table.note_loan(member, loan);
+        }
+    }
+
+    /// Notes the own takeover row.
+    pub(super) fn note_own_row(&self, taken: bool, sent_at: Instant) {
+        if let Some(state) = self.lock().as_mut() {
+            state.table.note_own_row(taken, sent_at);
+        }
+    }
+
+    /// Notes the end of an attempt to take a peer's share over.
+    pub(super) fn end_takeover(&self, host: &str, attempt: u64, written: bool, now: Instant) {
+        if let Some(state) = self.lock().as_mut() {
+            state
+                .table
+                .end_takeover_attempt(host, attempt, written, now);
+        }
+    }
+
+    /// Returns the request for a grant from a peer.
+    pub(super) fn grant_request(&self) -> GrantRequest {
+        GrantRequest {
+            host: self.digest.host().to_owned(),
+            incarnation: self.digest.incarnation(),
+            version: self.lock().as_ref().map_or(0, |state| state.version),
+        }
+    }
+
+    /// Counts the entry hosts that take part, this one included.
+    fn live_hosts(&self, now: Instant) -> usize {
+        let live = self.hub.live_peers(now);
+        let others = live.others.iter().map(|(_, hosts)| hosts.len());
+        1 + live.own.len() + others.sum::<usize>()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<HubState>> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HubState {
+    fn apply(&mut self, document: &IntentDocument, now: Instant) {
+        let hosts = document.entry_host.iter().map(|host| ServingHost {
+            name: host.name.clone(),
+            data_centre: host.data_centre.clone(),
+        });
+        self.hosts = hosts.collect();
+        let members = document.group.iter().flat_map(|group| &group.member);
+        let members: BTreeMap<String, GroupMember> = members
+            .map(|member| (member.name.clone(), member.clone()))
+            .collect();
+        for name in self
+            .members
+            .keys()
+            .filter(|name| !members.contains_key(*name))
+        {
+            self.table.remove_member(name);
+            self.open.remove(name);
+        }
+        for member in members.values() {
+            let limit = u32::try_from(member.connection_limit).unwrap_or(u32::MAX);
+            let layout = MemberLayout::new(&member.data_centre, limit, self.hosts.clone());
+            self.table.set_member(&member.name, layout, now);
+        }
+        self.members = members;
+    }
+
+    fn share_of(&self, member: &str, live_hosts: usize, now: Instant) -> MemberShare {
+        let slots = self.members.get(member).map_or(1, |member| member.slots);
+        let in_flight = (slots * IN_FLIGHT_PER_SLOT).div_ceil(live_hosts as u64);
+        MemberShare {
+            connections: self.table.allowance(member, now) as usize,
+            in_flight: in_flight as usize,
+        }
+    }
+}
--- a/crates/transport/tests/daemons.rs
+++ b/crates/transport/tests/daemons.rs
@@ -184,3 +184,32 @@
         expect_that!(text, contains_substring(line));
     }
 }
+
+/// Guards against hosts that together open more connections than a server
+/// accepts, and against a share that stays unused after its host has died.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_are_shared_and_taken_over() {
+    let bed = TestBed::start(2, ClusterSettings::default()).await;
+    let mut document = bed.cluster.document();
+    document.limits.takeover_after_s = 8;
+    bed.publish(1, &document).await;
+    let mut daemons = bed.daemons().await;
+    let allowed = |daemon: &DaemonHandle| daemon.connection_allowance("server-0-0");
+    let divided = || daemons.iter().all(|daemon| allowed(daemon) == 10);
+    let elapsed = wait_for(Duration::from_secs(3), divided).await;
+    println!("shares in use after {elapsed:?}");
+    assert_that!(elapsed, some(anything()));
+    drop(daemons.pop());
+    let start = Instant::now();
+    let inherited = || allowed(&daemons[0]) == 20;
+    let elapsed = wait_for(Duration::from_secs(20), inherited).await;
+    println!("share taken over after {elapsed:?}");
+    expect_that!(elapsed, some(ge(Duration::from_secs(8))));
+    expect_that!(start.elapsed(), lt(Duration::from_secs(20)));
+    daemons.push(bed.daemon(1).await);
+    let divided = || daemons.iter().all(|daemon| allowed(daemon) == 10);
+    let elapsed = wait_for(Duration::from_secs(20), divided).await;
+    println!("share given back after {elapsed:?}");
+    expect_that!(elapsed, some(anything()));
+}
