--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -160,8 +160,8 @@
             term: progress.promised,
             offset: 0,
         });
-        // The default ticket orders behind all real ones, so a range from the
-        // next offset with that ticket would skip the commits at that offset.
+        // The null ticket sorts behind every real one at its position, so the
+        // range must not begin at the position that is looked for.
         self.by_position
             .range((lowest, ConfirmTicket::default())..)
             .map(|&(position, _)| position)
