Strengthen the group model

Cause: the model missed the naive promotion: replicas lagged by one entry at most and failovers were rare.

Change: stronger lag, slow replay after a restart, replay at ticks only, pairs of faults twice in a row and more, proposers paused at a chosen phase, lost control answers. The confirm tracker takes the applied position of the newest report and not the highest one, since a restarted member may show less.

--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -195,8 +195,9 @@
         }
         if report.log.term == report.promised_term {
             progress.reached = progress.reached.max(report.log);
-            progress.applied = progress.applied.max(report.applied);
         }
+        // Not the maximum: a restarted member may show an older state.
+        progress.applied = report.applied;
         progress.is_primary |= report.role == MemberRole::Primary;
         true
     }
--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -58,7 +58,8 @@
     /// Region of this daemon.
     pub region: &'a str,
     /// The replica that confirmed the session's last write, if any. It can
-    /// serve the read before its next report arrives.
+    /// serve the read before its next report arrives. To be given only while
+    /// the connection in use was opened before the confirming question was sent.
     pub confirmed_at: Option<ReplicaPosition>,
 }
 
--- a/crates/coordination/tests/group_model.rs
+++ b/crates/coordination/tests/group_model.rs
@@ -19,6 +19,7 @@
 
     use std::time::{Duration, Instant};
 
+    use coordination::failover::FailoverPhase;
     use state::log::{LogPosition, Term};
     use state::member::MemberReport;
 
@@ -88,6 +89,9 @@
         DuplicatingNetwork,
         PlatformDown,
         Leaving(usize),
+        /// The next daemon that reaches this phase is paused in it.
+        PauseProposer(FailoverPhase),
+        LosesControlAnswers,
     }
 
     impl FaultKind {
@@ -110,6 +114,10 @@
                 Self::DuplicatingNetwork => "duplicates",
                 Self::PlatformDown => "platform down or losing answers",
                 Self::Leaving(_) => "member leaving",
+                Self::PauseProposer(FailoverPhase::Lease) => "proposer paused at the lease",
+                Self::PauseProposer(FailoverPhase::Fencing) => "proposer paused while fencing",
+                Self::PauseProposer(_) => "proposer paused while promoting",
+                Self::LosesControlAnswers => "half of the control answers lost",
             }
         }
     }
--- a/crates/coordination/tests/model/member.rs
+++ b/crates/coordination/tests/model/member.rs
@@ -42,8 +42,11 @@
     pub role: MemberRole,
     pub log: Log,
     pub applied: usize,
-    /// Whether the member neither replicates nor applies more than a little.
+    /// Whether the member takes and applies only a few entries.
     pub lagging: bool,
+    appends: u64,
+    /// Entries applied per tick; few after a restart.
+    apply_step: usize,
     granted_to: Option<u64>,
     following: Option<usize>,
     heard_at: Option<Instant>,
@@ -71,6 +74,8 @@
             log: Log::default(),
             applied: 0,
             lagging: false,
+            appends: 0,
+            apply_step: usize::MAX,
             granted_to: None,
             following: None,
             heard_at: None,
@@ -100,7 +105,8 @@
         self.epoch += 1;
         self.heard_at = None;
         if self.role == MemberRole::Replica {
-            self.applied = rng.random_range(0..=self.applied);
+            self.applied = rng.random_range(self.applied * 3 / 4..=self.applied);
+            self.apply_step = rng.random_range(1..10);
         }
         if rng.random_bool(0.5) {
             self.following = None;
@@ -140,8 +146,11 @@
     }
 
     fn apply(&mut self) {
-        let step = if self.lagging { 1 } else { usize::MAX };
+        let step = if self.lagging { 1 } else { self.apply_step };
         self.applied = self.log.len().min(self.applied.saturating_add(step));
+        if self.applied == self.log.len() {
+            self.apply_step = usize::MAX;
+        }
     }
 
     fn replicate(&self, members: usize, out: &mut Outbox) {
@@ -175,13 +184,18 @@
             truth.check_dropped(&own[common..])?;
             own.truncate(common);
         }
-        let limit = if self.lagging { 1 } else { usize::MAX };
+        self.appends += 1;
+        let limit = match self.lagging {
+            true => usize::from(self.appends.is_multiple_of(8)),
+            false => usize::MAX,
+        };
         let have = own.len();
         if have < log.len() {
             own.extend(log[have..].iter().take(limit));
         }
         self.applied = self.applied.min(own.len());
-        if !self.lagging {
+        // Every other member applies at its ticks only.
+        if !self.lagging && self.index.is_multiple_of(2) {
             self.apply();
         }
         Ok(())
--- a/crates/coordination/tests/model/world.rs
+++ b/crates/coordination/tests/model/world.rs
@@ -20,11 +20,11 @@
 
 const SESSIONS: usize = 5;
 const FAULTS_BEGIN: Duration = Duration::from_millis(1_500);
-const FAULTS_END: Duration = Duration::from_millis(11_500);
+const FAULTS_END: Duration = Duration::from_millis(21_500);
 /// Longest time after the last fault until every daemon serves again.
 pub const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
 /// Time without faults at the end, in which recovery is checked.
-const RUN_END: Duration = Duration::from_millis(22_000);
+const RUN_END: Duration = Duration::from_millis(30_500);
 const STALENESS_MS: [u64; 5] = [0, 200, 1_000, 5_000, 60_000];
 
 enum Event {
@@ -66,6 +66,7 @@
     loss: f64,
     duplicate: f64,
     delay_max_ms: u64,
+    loses_control_answers: bool,
 }
 
 /// Figures of one run.
@@ -98,6 +99,7 @@
     sessions: Vec<Session>,
     truth: Truth,
     decision: Decision,
+    pause_at: Option<FailoverPhase>,
     next_write: u64,
     last_fault_end: Instant,
     served: Vec<Option<Instant>>,
@@ -127,6 +129,7 @@
             sessions: Vec::new(),
             truth: Truth::default(),
             decision,
+            pause_at: None,
             next_write: 0,
             last_fault_end: base + FAULTS_BEGIN,
             served: vec![None; daemons],
@@ -189,67 +192,83 @@
         self.events.insert(self.sequence, event);
     }
 
-    /// Plans one fault, a pair at the same time, the same fault twice in a row,
-    /// or a series of overlapping ones.
+    /// Plans one fault, a pair at nearly the same time, the same pair twice in a
+    /// row, or a series of overlapping faults.
     fn plan_faults(&mut self) {
         let begin = self.base + FAULTS_BEGIN;
         let window = FAULTS_END - FAULTS_BEGIN;
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..6) {
             0 => {
-                let fault = self.pick_fault();
-                self.plan(fault, begin, window / 2);
-            }
-            1 => {
-                let (first, second) = (self.pick_fault(), self.pick_fault());
-                self.plan(first, begin, window / 2);
-                let later = begin + self.jitter(Duration::from_millis(1_500));
-                self.plan(second, later, window / 2);
-            }
-            2 => {
                 let fault = self.pick_fault();
                 self.plan(fault, begin, window / 4);
-                self.plan(fault, begin + window / 2, window / 4);
+            }
+            1 | 2 => {
+                let (first, second) = (self.pick_fault(), self.pick_primary_fault());
+                for round in 0..4 {
+                    self.plan_pair(first, second, begin + window / 4 * round, window / 5);
+                }
             }
             _ => {
-                let count = self.rng.random_range(4..12);
+                let count = self.rng.random_range(6..30);
                 for _ in 0..count {
-                    let fault = self.pick_fault();
-                    let at = begin + self.jitter(window * 3 / 4);
-                    self.plan(fault, at, window / 3);
+                    let fault = if self.rng.random_bool(0.4) {
+                        self.pick_primary_fault()
+                    } else {
+                        self.pick_fault()
+                    };
+                    let at = begin + self.jitter(window * 4 / 5);
+                    self.plan(fault, at, window / 5);
                 }
             }
         }
     }
 
+    fn plan_pair(&mut self, first: FaultKind, second: FaultKind, at: Instant, longest: Duration) {
+        self.plan(first, at, longest);
+        let later = at + self.jitter(Duration::from_millis(1_500));
+        self.plan(second, later, longest);
+    }
+
     fn plan(&mut self, fault: FaultKind, at: Instant, longest: Duration) {
+        let longest = longest / [1, 1, 4, 20][self.rng.random_range(0..4)];
         let until = (at + self.jitter(longest)).min(self.base + FAULTS_END);
         self.last_fault_end = self.last_fault_end.max(until);
         self.schedule(at, Event::Begin(fault));
         self.schedule(until, Event::End(fault));
     }
 
+    fn pick_primary_fault(&mut self) -> FaultKind {
+        match self.rng.random_range(0..5) {
+            0 => FaultKind::IsolatePrimary,
+            1 => FaultKind::PrimaryOffReplicas,
+            2 => FaultKind::PrimaryOffDaemons,
+            3 => FaultKind::CrashPrimary,
+            _ => FaultKind::FreezePrimary,
+        }
+    }
+
     fn pick_fault(&mut self) -> FaultKind {
         let member = self.rng.random_range(0..self.members.len());
         let other = (member + self.rng.random_range(1..self.members.len())) % self.members.len();
         let daemon = self.rng.random_range(0..self.served.len());
-        match self.rng.random_range(0..17) {
+        match self.rng.random_range(0..18) {
             0 => FaultKind::CutMembers(member, other),
             1 => FaultKind::CutMemberDaemon(member, daemon),
-            2 => FaultKind::IsolatePrimary,
+            2 => self.pick_primary_fault(),
             3 => FaultKind::IsolateMember(member),
-            4 => FaultKind::PrimaryOffReplicas,
-            5 => FaultKind::PrimaryOffDaemons,
-            6 => FaultKind::PauseDaemon(daemon),
-            7 => FaultKind::RestartDaemon(daemon),
-            8 => FaultKind::CrashMember(member),
-            9 => FaultKind::CrashPrimary,
-            10 => FaultKind::FreezePrimary,
-            11 => FaultKind::Lag(member),
-            12 => FaultKind::LossyNetwork,
-            13 => FaultKind::SlowNetwork,
-            14 => FaultKind::DuplicatingNetwork,
-            15 => FaultKind::PlatformDown,
-            _ => FaultKind::Leaving(member),
+            4 => FaultKind::PauseDaemon(daemon),
+            5 => FaultKind::RestartDaemon(daemon),
+            6 => FaultKind::CrashMember(member),
+            7 | 8 => FaultKind::Lag(member),
+            9 => FaultKind::LossyNetwork,
+            10 => FaultKind::SlowNetwork,
+            11 => FaultKind::DuplicatingNetwork,
+            12 => FaultKind::PlatformDown,
+            13 => FaultKind::Leaving(member),
+            14 => FaultKind::LosesControlAnswers,
+            15 => FaultKind::PauseProposer(FailoverPhase::Lease),
+            16 => FaultKind::PauseProposer(FailoverPhase::Fencing),
+            _ => FaultKind::PauseProposer(FailoverPhase::Promoting),
         }
     }
 
@@ -426,7 +445,7 @@
         if self.platform_loses_answers && self.rng.random_bool(0.5) {
             return;
         }
-        self.transmit(Endpoint::Platform, from, reply);
+        self.transmit(Endpoint::Platform, from, reply, self.now);
     }
 
     fn tick_member(&mut self, index: usize) {
@@ -463,8 +482,22 @@
 
     fn flush(&mut self, from: Endpoint, out: Outbox) {
         for (to, message) in out.messages {
-            self.transmit(from, to, message);
+            self.transmit(from, to, message, self.now);
+        }
+    }
+
+    /// Pauses the daemon if it has reached the chosen phase. Returns when its
+    /// messages leave: some are sent before the pause, some after it.
+    fn pause_proposer(&mut self, index: usize) -> Instant {
+        let phase = self.daemons[index].machine.phase();
+        if self.pause_at != Some(phase) || self.now >= self.base + FAULTS_END {
+            return self.now;
         }
+        self.pause_at = None;
+        self.pause_daemon(index);
+        let before = self.rng.random_bool(0.5);
+        let until = self.daemons[index].paused_until;
+        until.filter(|_| !before).unwrap_or(self.now)
     }
 
     fn flush_daemon(&mut self, index: usize, mut out: Outbox) -> Result {
@@ -480,14 +513,21 @@
                 },
             );
         }
-        self.flush(Endpoint::Daemon(index), out);
+        let leaves_at = self.pause_proposer(index);
+        for (to, message) in out.messages {
+            self.transmit(Endpoint::Daemon(index), to, message, leaves_at);
+        }
         for result in std::mem::take(&mut self.daemons[index].results) {
             self.take_result(index, result)?;
         }
         Ok(())
     }
 
-    fn transmit(&mut self, from: Endpoint, to: Endpoint, message: Message) {
+    fn transmit(&mut self, from: Endpoint, to: Endpoint, message: Message, sent_at: Instant) {
+        let is_answer = matches!(message, Message::ControlReply { .. });
+        if is_answer && self.network.loses_control_answers && self.rng.random_bool(0.5) {
+            return;
+        }
         let copies = 1 + usize::from(self.rng.random_bool(self.network.duplicate));
         for _ in 0..copies {
             if self.rng.random_bool(self.network.loss) {
@@ -495,7 +535,7 @@
             }
             let usual = Duration::from_micros(self.rng.random_range(100..2_000));
             let extra = self.rng.random_range(0..=self.network.delay_max_ms);
-            let at = self.now + usual + Duration::from_millis(extra);
+            let at = sent_at + usual + Duration::from_millis(extra);
             let message = message.clone();
             self.schedule(at, Event::Deliver { from, to, message });
         }
@@ -685,6 +725,8 @@
                 self.platform_loses_answers = true;
             }
             FaultKind::Leaving(member) => self.set_leaving(member, true),
+            FaultKind::PauseProposer(phase) => self.pause_at = Some(phase),
+            FaultKind::LosesControlAnswers => self.network.loses_control_answers = true,
         }
         if let Some(thaw) = self.frozen[primary] {
             self.last_fault_end = self.last_fault_end.max(thaw);
@@ -744,6 +786,8 @@
                 self.platform_loses_answers = false;
             }
             FaultKind::Leaving(member) => self.set_leaving(member, false),
+            FaultKind::PauseProposer(_) => self.pause_at = None,
+            FaultKind::LosesControlAnswers => self.network.loses_control_answers = false,
         }
     }
 
