--- a/crates/coordination/tests/group_model.rs
+++ b/crates/coordination/tests/group_model.rs
@@ -92,6 +92,9 @@
         /// The next daemon that reaches this phase is paused in it.
         PauseProposer(FailoverPhase),
         LosesControlAnswers,
+        SlowDaemon(usize),
+        /// A crash and restart that no probe notices.
+        BounceMember(usize),
     }
 
     impl FaultKind {
@@ -117,6 +120,8 @@
                 Self::PauseProposer(FailoverPhase::Lease) => "proposer paused at the lease",
                 Self::PauseProposer(FailoverPhase::Fencing) => "proposer paused while fencing",
                 Self::PauseProposer(_) => "proposer paused while promoting",
+                Self::SlowDaemon(_) => "one daemon's network slow",
+                Self::BounceMember(_) => "member restarted at once",
                 Self::LosesControlAnswers => "half of the control answers lost",
             }
         }
