Replay the time of a statement on replicas

Cause: a column default of now() became SQLite's CURRENT_TIMESTAMP, which each member evaluated for itself, so members could differ after a failover. Change: the time of each write is logged with it, and an own CURRENT_TIMESTAMP function returns it; now() - interval '7 days' is understood, which the removal of old request ids may use. Reads take the time only when they name it.

--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -4,6 +4,7 @@
 //! control together with replication on its control address. SQL runs in an
 //! in-memory SQLite behind a replicated log.
 
+mod clock;
 mod control;
 mod disk;
 mod entry;
--- a/crates/standin/src/backend/entry.rs
+++ b/crates/standin/src/backend/entry.rs
@@ -13,6 +13,8 @@
     pub sql: String,
     /// Parameters.
     pub params: Vec<SqlValue>,
+    /// Time that the statement sees, so that replicas replay the same value.
+    pub time: String,
 }
 
 /// One committed write transaction, or the empty entry of a promotion.
--- a/crates/standin/src/backend/session/execute.rs
+++ b/crates/standin/src/backend/session/execute.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 
 use super::{lock, ConnectionGuard, StatementServer};
+use crate::backend::clock;
 use crate::backend::infer;
 use crate::backend::sql::{render, split_statements, translate, SqlToken, TokenKind};
 use crate::backend::statement::{
@@ -248,17 +249,27 @@
             cancellable(&self.cancel, sleep(time)).await?;
         }
         server.statements.fetch_add(1, Ordering::Relaxed);
-        let output = self.with_connection(|connection| {
-            statement::run(
+        let (output, time) = self.with_connection(|connection| {
+            // A write may use the time through the default of a column.
+            let time = if is_write || clock::is_used(&tokens) {
+                clock::read_clock(connection)?
+            } else {
+                String::new()
+            };
+            clock::set_time(&time);
+            let output = statement::run(
                 connection,
                 &tokens,
                 call.params,
                 call.param_types,
                 call.formats,
-            )
+            )?;
+            Ok((output, time))
         })?;
         if let Some(write) = self.write.as_mut().filter(|_| is_write) {
-            write.transaction.record(&render(&tokens), call.params);
+            write
+                .transaction
+                .record(&render(&tokens), call.params, &time);
         }
         Ok(output)
     }
@@ -297,7 +308,7 @@
         if let Some(write) = self.write.as_mut() {
             let sql = render(call.tokens);
             write.transaction.connection().execute_batch(&sql)?;
-            write.transaction.record(&sql, &[]);
+            write.transaction.record(&sql, &[], "");
         }
         self.phase = TransactionPhase::Explicit;
         if call.tokens[0].is("savepoint") {
@@ -315,18 +326,7 @@
     }
 
     fn translate(&self, tokens: &[SqlToken]) -> Vec<SqlToken> {
-        const CLOCK: &str = "SELECT strftime('%Y-%m-%d %H:%M:%f+00', 'now')";
-        let names_time = |token: &SqlToken| {
-            token.is("now") || token.is("current_timestamp") || token.is("clock_timestamp")
-        };
-        let now = if tokens.iter().any(names_time) {
-            let store = self.server.member.store();
-            let time = store.lock().query_row(CLOCK, [], |row| row.get(0));
-            time.unwrap_or_default()
-        } else {
-            String::new()
-        };
-        translate(tokens.to_vec(), &now, self.process)
+        translate(tokens, self.process)
     }
 
     fn set_variable(&mut self, tokens: &[SqlToken]) {
--- a/crates/standin/src/backend/sql.rs
+++ b/crates/standin/src/backend/sql.rs
@@ -71,15 +71,14 @@
     texts.join(" ")
 }
 
-/// Replaces spellings that SQLite does not know. `now` is the text of the
-/// current time: it becomes a literal, so that replicas replay the same value.
-pub fn translate(tokens: Vec<SqlToken>, now: &str, process: i32) -> Vec<SqlToken> {
+/// Replaces spellings that SQLite does not know.
+pub fn translate(tokens: &[SqlToken], process: i32) -> Vec<SqlToken> {
     let is_create = tokens.first().is_some_and(|token| token.is("create"));
     let mut output: Vec<SqlToken> = Vec::with_capacity(tokens.len());
-    let mut rest = tokens.as_slice();
+    let mut rest = tokens;
     while let Some(token) = rest.first() {
         let (replacement, used) = match ignored_length(rest) {
-            0 => replace(rest, is_create, now, process).unwrap_or((token.clone(), 1)),
+            0 => replace(rest, is_create, process).unwrap_or((token.clone(), 1)),
             length => {
                 rest = &rest[length..];
                 continue;
@@ -104,40 +103,42 @@
 }
 
 /// Returns the replacement of the first tokens and how many it replaces.
-fn replace(
-    rest: &[SqlToken],
-    is_create: bool,
-    now: &str,
-    process: i32,
-) -> Option<(SqlToken, usize)> {
+fn replace(rest: &[SqlToken], is_create: bool, process: i32) -> Option<(SqlToken, usize)> {
     let token = &rest[0];
-    let is_call = rest.len() >= 3 && rest[1].is("(") && rest[2].is(")");
-    if is_call && (token.is("now") || token.is("clock_timestamp")) {
-        return Some((time_token(is_create, now), 3));
-    }
-    if is_call && token.is("pg_backend_pid") {
-        return Some((new_token(TokenKind::Number, &process.to_string()), 3));
+    if token.kind != TokenKind::Word {
+        return None;
     }
-    let word = |text| Some((new_token(TokenKind::Word, text), 1));
+    let is_call = rest.len() >= 3 && rest[1].is("(") && rest[2].is(")");
+    let word = |text: &str, used| Some((new_token(TokenKind::Word, text), used));
     match token.text.to_ascii_lowercase().as_str() {
-        _ if token.kind != TokenKind::Word => None,
-        "current_timestamp" => Some((time_token(is_create, now), 1)),
-        "serial" | "bigserial" if is_create => word("INTEGER"),
-        "ilike" => word("LIKE"),
+        "now" | "clock_timestamp" if is_call => match interval_behind(&rest[3..]) {
+            Some(text) => word(&time_minus(text), 6),
+            None => word("CURRENT_TIMESTAMP", 3),
+        },
+        "pg_backend_pid" if is_call => {
+            Some((new_token(TokenKind::Number, &process.to_string()), 3))
+        }
+        "serial" | "bigserial" if is_create => word("INTEGER", 1),
+        "ilike" => word("LIKE", 1),
         "truncate" if rest.get(1).is_some_and(|next| next.name().is_some()) => {
-            let has_table = rest.get(1).is_some_and(|next| next.is("table"));
-            let words = new_token(TokenKind::Word, "DELETE FROM");
-            Some((words, 1 + usize::from(has_table)))
+            let has_table = rest[1].is("table");
+            word("DELETE FROM", 1 + usize::from(has_table))
         }
         _ => None,
     }
 }
 
-fn time_token(is_create: bool, now: &str) -> SqlToken {
-    if is_create {
-        return new_token(TokenKind::Word, "CURRENT_TIMESTAMP");
-    }
-    new_token(TokenKind::Text, &format!("'{now}'"))
+/// Returns the literal of `- interval '...'` at the start of `rest`.
+fn interval_behind(rest: &[SqlToken]) -> Option<&str> {
+    let is_interval = rest.len() >= 3 && rest[0].is("-") && rest[1].is("interval");
+    let literal = rest.get(2).filter(|_| is_interval)?;
+    literal.text.strip_prefix('\'')?.strip_suffix('\'')
+}
+
+/// SQLite's expression for the current time minus an interval of one unit, such
+/// as `7 days`, in the same text form as the current time.
+fn time_minus(interval: &str) -> String {
+    format!("strftime('%Y-%m-%d %H:%M:%f+00', substr(CURRENT_TIMESTAMP, 1, 23), '-{interval}')")
 }
 
 fn new_token(kind: TokenKind, text: &str) -> SqlToken {
--- a/crates/standin/src/backend/statement.rs
+++ b/crates/standin/src/backend/statement.rs
@@ -5,6 +5,7 @@
 use rusqlite::functions::FunctionFlags;
 use rusqlite::{ffi, Connection};
 
+use super::clock;
 use super::infer;
 use super::sql::{render, SqlToken};
 use super::store::bind;
@@ -127,6 +128,7 @@
 pub fn register_functions(connection: &Connection) -> rusqlite::Result<()> {
     // The session sleeps before it runs the statement, so that no lock is held.
     connection.create_scalar_function("pg_sleep", 1, FunctionFlags::SQLITE_UTF8, |_| Ok(""))?;
+    clock::register(connection)?;
     connection.create_scalar_function("version", 0, FunctionFlags::SQLITE_UTF8, |_| {
         Ok("PostgreSQL 16 (cassiatrestle stand-in)")
     })
--- a/crates/standin/src/backend/store.rs
+++ b/crates/standin/src/backend/store.rs
@@ -7,6 +7,7 @@
 use rusqlite::Connection;
 use tokio::sync::OwnedMutexGuard;
 
+use super::clock;
 use super::entry::{LogEntry, LoggedStatement};
 use super::value::SqlValue;
 
@@ -89,10 +90,11 @@
     }
 
     /// Records a statement that ran, for the log.
-    pub fn record(&mut self, sql: &str, params: &[SqlValue]) {
+    pub fn record(&mut self, sql: &str, params: &[SqlValue], time: &str) {
         self.statements.push(LoggedStatement {
             sql: sql.to_owned(),
             params: params.to_vec(),
+            time: time.to_owned(),
         });
     }
 
@@ -147,6 +149,7 @@
 ) -> rusqlite::Result<()> {
     connection.execute_batch("BEGIN")?;
     for logged in statements {
+        clock::set_time(&logged.time);
         let mut statement = connection.prepare_cached(&logged.sql)?;
         bind(&mut statement, &logged.params)?;
         let mut rows = statement.raw_query();
--- a/crates/standin/tests/statements.rs
+++ b/crates/standin/tests/statements.rs
@@ -476,7 +476,11 @@
     let cluster = start_cluster(ClusterSettings::default()).await;
     let client = connect(&cluster, member(0)).await;
     client
-        .batch_execute("CREATE TABLE events (id int8, at text); INSERT INTO events VALUES (1, now()), (2, current_timestamp)")
+        .batch_execute(
+            "CREATE TABLE events (id int8, at timestamptz NOT NULL DEFAULT now()); \
+             INSERT INTO events VALUES (1, now()), (2, current_timestamp); \
+             INSERT INTO events (id) VALUES (3)",
+        )
         .await
         .unwrap();
     let position = cluster.server(member(0)).unwrap().report().log;
@@ -487,6 +491,19 @@
     let replica = connect(&cluster, member(1)).await;
     let query = "SELECT at FROM events ORDER BY id";
     let expected = simple_rows(&client, query).await;
-    assert_that!(expected, len(eq(2)));
+    assert_that!(expected, len(eq(3)));
+    // SQLite's own clock has neither milliseconds nor a zone.
+    for row in &expected {
+        assert_that!(row[0], some(ends_with("+00")));
+    }
     assert_that!(simple_rows(&replica, query).await, eq(&expected));
+    let recent = "SELECT id FROM events WHERE at > now() - interval '7 days' AND at <= now()";
+    assert_that!(simple_rows(&client, recent).await, len(eq(3)));
+    let old = client
+        .execute(
+            "DELETE FROM events WHERE at < now() - interval '7 days'",
+            &[],
+        )
+        .await;
+    assert_that!(old.unwrap(), eq(0));
 }
