End the daemon when a control task panics

Cause: a panic in a monitor or control task, which means that an invariant does not hold, left a daemon that lacked a part and went on serving. Change: the runtime watches its tasks and the monitors and ends the daemon. cassiad is tested with a transaction in flight at SIGTERM and a second signal.

--- a/crates/cassiad/tests/command_line.rs
+++ b/crates/cassiad/tests/command_line.rs
@@ -6,6 +6,10 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use standin::cluster::{Cluster, ClusterSettings};
+use tokio_postgres::NoTls;
+use transport::document_store;
+use transport::platform::PlatformClient;
 
 const GOOD: &str = r#"
 host = "entry-1"
@@ -180,6 +184,61 @@
     }
 }
 
+/// Returns the port for callers from the log line about the listeners.
+fn caller_port(output: &mut impl BufRead) -> u16 {
+    let mut line = String::new();
+    while !line.contains("for callers") {
+        line.clear();
+        assert!(output.read_line(&mut line).unwrap() > 0, "the log ended");
+    }
+    let address = line.split(" listens on ").nth(1).unwrap();
+    let port = address.split(' ').next().unwrap().rsplit(':').next();
+    port.unwrap().parse().unwrap()
+}
+
+/// Guards against a SIGTERM that cuts off a transaction in flight, and against
+/// a second one that is ignored while a caller holds the daemon up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn signals_drain_first_and_end_second() {
+    let reserved = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let cluster = Cluster::start(ClusterSettings {
+        entry_hosts: vec![reserved.local_addr().unwrap()],
+        ..ClusterSettings::default()
+    });
+    let cluster = cluster.await.unwrap();
+    let address = cluster.platform().address();
+    let platform = PlatformClient::new(address, Duration::from_secs(1));
+    document_store::publish(&platform, &platform, 0, &cluster.document_text()).await;
+    let text = GOOD
+        .replace("entry-1", "entry-0")
+        .replace("centre-1", &cluster.document().data_centre[0].name)
+        .replace("127.0.0.1:9", &address.to_string());
+    let credential = "\n[[credential]]\nuser = \"app\"\npassword = \"secret\"\n";
+    let file = SettingsFile::new("drain", &format!("{text}{credential}"));
+    for finishes in [true, false] {
+        let mut child = spawn(&file);
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let port = caller_port(&mut output);
+        std::thread::spawn(move || std::io::copy(&mut output, &mut std::io::sink()));
+        let target = format!("host=127.0.0.1 port={port} user=app password=secret dbname=group-0");
+        let (client, connection) = tokio_postgres::connect(&target, NoTls).await.unwrap();
+        tokio::spawn(connection);
+        client.batch_execute("BEGIN; SELECT 1").await.unwrap();
+        terminate(&child);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        expect_that!(child.try_wait().unwrap().is_none(), eq(true));
+        if finishes {
+            expect_that!(client.batch_execute("COMMIT").await, ok(anything()));
+        } else {
+            terminate(&child);
+        }
+        let code = if finishes { 0 } else { 1 };
+        let exit = wait_for_exit(&mut child, Duration::from_secs(3));
+        expect_that!(exit, some(eq(code)));
+    }
+}
+
 /// Guards against a daemon that runs on without one of its listeners.
 #[gtest]
 fn a_taken_address_ends_the_start() {
--- a/crates/transport/src/monitor.rs
+++ b/crates/transport/src/monitor.rs
@@ -17,4 +17,4 @@
 
 pub use config::{MonitorConfig, MonitorSeams};
 pub use probe_budget::ProbeBudget;
-pub use task::spawn;
+pub use task::{prepare, spawn};
--- a/crates/transport/src/monitor/task.rs
+++ b/crates/transport/src/monitor/task.rs
@@ -1,5 +1,6 @@
 //! The monitor's task: takes events, updates its parts and starts calls.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,21 @@
     seams: MonitorSeams<F, T, C>,
     config: watch::Receiver<MonitorConfig>,
 ) -> GroupHandle
+where
+    F: ControlFactory,
+    T: TableService,
+    C: MonotonicClock,
+{
+    let (handle, task) = prepare(seams, config);
+    tokio::spawn(task);
+    handle
+}
+
+/// Builds the monitor of a group: its handle, and the task to be spawned.
+pub fn prepare<F, T, C>(
+    seams: MonitorSeams<F, T, C>,
+    config: watch::Receiver<MonitorConfig>,
+) -> (GroupHandle, impl Future<Output = ()> + Send + 'static)
 where
     F: ControlFactory,
     T: TableService,
@@ -49,8 +65,8 @@
     let meter = seams.budget.meter().clone();
     let monitor = GroupMonitor::new(seams, config);
     let (publisher, views) = watch::channel(Arc::new(monitor.members.view().clone()));
-    tokio::spawn(async move { meter.run(monitor.run(inbox, publisher)).await });
-    GroupHandle::new(views, requests)
+    let task = async move { meter.run(monitor.run(inbox, publisher)).await };
+    (GroupHandle::new(views, requests), task)
 }
 
 struct GroupMonitor<F: ControlFactory, T, C> {
@@ -274,7 +290,7 @@
     fn call<A, Fut>(&mut self, member: MemberKey, kind: CallKind, now: Instant, call: A)
     where
         A: FnOnce(F::Control) -> Fut,
-        Fut: std::future::Future<Output = Result<MemberReport>> + Send + 'static,
+        Fut: Future<Output = Result<MemberReport>> + Send + 'static,
     {
         if let Some(control) = self.members.control(member) {
             self.calls.member(member, kind, now, call(control));
--- a/crates/transport/src/runtime/groups.rs
+++ b/crates/transport/src/runtime/groups.rs
@@ -6,6 +6,7 @@
 
 use state::clock::MonotonicClock;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::callers::CallerSide;
 use super::share_hub::ShareHub;
@@ -47,6 +48,7 @@
         adopted: &AdoptedDocument,
         leaving: &BTreeSet<String>,
         seams: &MonitorSeams<F, T, C>,
+        tasks: &mut JoinSet<()>,
     ) where
         F: ControlFactory,
         T: TableService,
@@ -66,9 +68,11 @@
                 continue;
             }
             let (sender, updates) = watch::channel(config);
+            let (handle, task) = monitor::prepare(seams.clone(), updates);
+            tasks.spawn(task);
             let running = RunningGroup {
                 config: sender,
-                handle: monitor::spawn(seams.clone(), updates),
+                handle,
             };
             groups.insert(group.name.clone(), running);
         }
@@ -99,7 +103,8 @@
 }
 
 /// Keeps monitors and callers in step with the document and the leaving
-/// servers.
+/// servers. Returns early when a monitor panics, which is a fault of the
+/// program; dropping the future ends all monitors.
 pub(super) async fn follow_groups<F, T, C>(
     sides: GroupSides,
     seams: MonitorSeams<F, T, C>,
@@ -110,18 +115,24 @@
     T: TableService,
     C: MonotonicClock,
 {
+    let mut tasks = JoinSet::new();
     loop {
         let adopted = documents.borrow_and_update().clone();
         let names = leaving.borrow_and_update().clone();
         if let Some(adopted) = adopted {
             seams.metrics.set_document_version(adopted.stamp.version);
             let monitors = &sides.monitors;
-            monitors.apply(&sides.host, &adopted, &names, &seams);
+            monitors.apply(&sides.host, &adopted, &names, &seams, &mut tasks);
             sides.shares.apply_document(&adopted, Instant::now());
             sides.callers.apply(&adopted, monitors, &sides.shares);
             sides.ready.send_replace(true);
         }
         tokio::select! {
+            Some(ended) = tasks.join_next(), if !tasks.is_empty() => {
+                if ended.is_err() {
+                    return;
+                }
+            }
             changed = documents.changed() => if changed.is_err() { return },
             changed = leaving.changed() => if changed.is_err() { return },
         }
--- a/crates/transport/src/runtime/shutdown.rs
+++ b/crates/transport/src/runtime/shutdown.rs
@@ -9,16 +9,31 @@
 
 /// Runs a daemon until it has shut down; then its tasks end.
 ///
-/// Monitors, follower and peer server go on while sessions drain, because
-/// commits in flight still need their confirmation.
+/// Control tasks end only by a panic, when an invariant does not hold. The
+/// daemon then ends too: one that lacks a part would serve wrong answers.
 pub(super) async fn run(
     parts: DaemonParts,
     listener: TcpListener,
-    control: JoinSet<()>,
-    mut shutdown: watch::Receiver<bool>,
+    mut control: JoinSet<()>,
+    shutdown: watch::Receiver<bool>,
 ) {
+    tokio::select! {
+        () = serve(&parts, listener, shutdown) => log::info!("shut down"),
+        ended = control.join_next() => {
+            log::error!("a control task has ended, so the daemon ends: {ended:?}");
+        }
+    }
+    drop(control);
+    parts.groups.clear();
+}
+
+/// Serves callers until the shutdown has drained them.
+///
+/// Monitors, follower and peer server go on while sessions drain, because
+/// commits in flight still need their confirmation.
+async fn serve(parts: &DaemonParts, listener: TcpListener, mut shutdown: watch::Receiver<bool>) {
     let callers = tokio::select! {
-        callers = start_callers(&parts, listener) => Some(callers),
+        callers = start_callers(parts, listener) => Some(callers),
         _ = shutdown.wait_for(|shutdown| *shutdown) => None,
     };
     let _ = shutdown.wait_for(|shutdown| *shutdown).await;
@@ -28,9 +43,6 @@
     if let Some(mut callers) = callers {
         while callers.join_next().await.is_some() {}
     }
-    drop(control);
-    parts.groups.clear();
-    log::info!("shut down");
 }
 
 /// Starts to accept callers once the document in force is known to be the
