Await the lowest commit that a member has not reported

Cause: a test showed that next_await skipped the commit right behind the last reported position, because the null ticket sorts last and not first. Such a commit was confirmed by the next probe only, up to 250 ms later.

Change: the range starts behind the null ticket.

Conclusion: a latency fault, not one of safety; the model did not see it.

--- /dev/null
+++ b/crates/coordination/benches/routing.rs
@@ -0,0 +1,122 @@
+//! Nanoseconds per routing decision, against the number of members, of anchors
+//! and of groups among which the decisions alternate.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use coordination::routing::{choose_read, choose_write, ReadRequest};
+use coordination::view::{GroupView, GroupWatermark, MemberView};
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use slotmap::SlotMap;
+use state::keys::MemberKey;
+use state::log::{LogPosition, Term};
+use state::member::{MemberReport, MemberRole};
+
+struct Shape {
+    members: usize,
+    anchors: u64,
+    groups: usize,
+}
+
+fn shape_name(shape: &Shape) -> String {
+    let Shape {
+        members,
+        anchors,
+        groups,
+    } = shape;
+    format!("{members} members, {anchors} anchors, {groups} groups")
+}
+
+fn member_view(index: usize, offset: u64, now: Instant) -> MemberView {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 5432));
+    let role = match index {
+        0 => MemberRole::Primary,
+        _ => MemberRole::Replica,
+    };
+    let position = LogPosition::new(7, offset);
+    MemberView {
+        name: format!("sightings-{index}"),
+        data_centre: format!("north-atlantic-{index}"),
+        region: format!("region-{}", index % 3),
+        address,
+        control_address: address,
+        slots: 3,
+        connection_limit: 20,
+        leaving: false,
+        reachable: true,
+        report: Some(MemberReport {
+            promised_term: Term(7),
+            role,
+            log: position,
+            applied: position,
+            primary_heard: None,
+        }),
+        reported_at: Some(now),
+    }
+}
+
+fn group_view(shape: &Shape, now: Instant) -> GroupView {
+    let mut members: SlotMap<MemberKey, MemberView> = SlotMap::with_key();
+    for index in 0..shape.members {
+        members.insert(member_view(index, 1_000_000, now));
+    }
+    let anchors = (0..shape.anchors).map(|index| GroupWatermark {
+        asked_at: now - Duration::from_millis(100) * (shape.anchors - index) as u32,
+        position: LogPosition::new(7, 1_000 + index),
+    });
+    GroupView {
+        name: "sightings".to_owned(),
+        members,
+        anchors: anchors.collect(),
+    }
+}
+
+fn read_request(now: Instant) -> ReadRequest<'static> {
+    ReadRequest {
+        bound: LogPosition::new(7, 900_000),
+        max_staleness: Duration::from_secs(5),
+        arrived_at: now,
+        deadline: now + Duration::from_secs(10),
+        replica_wait: Duration::from_millis(20),
+        data_centre: "north-atlantic-1",
+        region: "region-1",
+        confirmed_at: None,
+    }
+}
+
+fn routing(criterion: &mut Criterion) {
+    let now = Instant::now() + Duration::from_secs(100);
+    let request = read_request(now);
+    let shapes = [
+        (3, 40, 1),
+        (3, 350, 1),
+        (5, 40, 1),
+        (9, 40, 1),
+        (3, 40, 100),
+        (3, 40, 2_900),
+    ];
+    for (members, anchors, groups) in shapes {
+        let shape = Shape {
+            members,
+            anchors,
+            groups,
+        };
+        let views: Vec<GroupView> = (0..groups).map(|_| group_view(&shape, now)).collect();
+        let mut turn = 0;
+        let mut next = || {
+            turn = (turn + 1) % views.len();
+            &views[turn]
+        };
+        let id = BenchmarkId::new("choose_read", shape_name(&shape));
+        criterion.bench_function(&id.to_string(), |bencher| {
+            bencher.iter(|| choose_read(next(), black_box(&request), now, |_| 0));
+        });
+        let id = BenchmarkId::new("choose_write", shape_name(&shape));
+        criterion.bench_function(&id.to_string(), |bencher| {
+            bencher.iter(|| choose_write(next(), black_box(request.deadline), now));
+        });
+    }
+}
+
+criterion_group!(benches, routing);
+criterion_main!(benches);
--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -6,6 +6,7 @@
 //! grants the term shares a member with the confirming one.
 
 use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::time::Instant;
 
 use slotmap::{SecondaryMap, SlotMap};
@@ -160,12 +161,11 @@
             term: progress.promised,
             offset: 0,
         });
-        let above = LogPosition {
-            term: lowest.term,
-            offset: lowest.offset + 1,
-        };
+        // The null key sorts after all others, so this skips every commit at
+        // `lowest`.
+        let above = Bound::Excluded((lowest, ConfirmTicket::default()));
         self.by_position
-            .range((above, ConfirmTicket::default())..)
+            .range((above, Bound::Unbounded))
             .next()
             .map(|&(position, _)| position)
     }
--- a/crates/coordination/tests/model/member.rs
+++ b/crates/coordination/tests/model/member.rs
@@ -45,6 +45,9 @@
     /// Whether the member takes and applies only a few entries.
     pub lagging: bool,
     appends: u64,
+    /// Ticks between two replays of a replica's log; 0 replays at once.
+    pub replay_ticks: u64,
+    ticks: u64,
     /// Entries applied per tick; few after a restart.
     apply_step: usize,
     granted_to: Option<u64>,
@@ -75,6 +78,8 @@
             applied: 0,
             lagging: false,
             appends: 0,
+            replay_ticks: 0,
+            ticks: 0,
             apply_step: usize::MAX,
             granted_to: None,
             following: None,
@@ -138,9 +143,13 @@
     }
 
     pub fn tick(&mut self, now: Instant, members: usize, out: &mut Outbox) {
+        self.ticks += 1;
         match self.role {
             MemberRole::Primary => self.replicate(members, out),
-            MemberRole::Replica => self.apply(),
+            MemberRole::Replica if self.ticks.is_multiple_of(self.replay_ticks.max(1)) => {
+                self.apply();
+            }
+            MemberRole::Replica => {}
         }
         self.answer_awaits(now, out);
     }
@@ -194,8 +203,7 @@
             own.extend(log[have..].iter().take(limit));
         }
         self.applied = self.applied.min(own.len());
-        // Every other member applies at its ticks only.
-        if !self.lagging && self.index.is_multiple_of(2) {
+        if !self.lagging && self.replay_ticks == 0 {
             self.apply();
         }
         Ok(())
--- a/crates/coordination/tests/model/world.rs
+++ b/crates/coordination/tests/model/world.rs
@@ -102,6 +102,9 @@
     truth: Truth,
     decision: Decision,
     pause_at: Option<FailoverPhase>,
+    /// Mean time between a session's operations. On a quiet group a replica is
+    /// often exactly one write behind, on a busy one it is many behind.
+    think: Duration,
     next_write: u64,
     last_fault_end: Instant,
     served: Vec<Option<Instant>>,
@@ -132,6 +135,7 @@
             truth: Truth::default(),
             decision,
             pause_at: None,
+            think: Duration::from_millis([30, 30, 400][rng.random_range(0..3)]),
             next_write: 0,
             last_fault_end: base + FAULTS_BEGIN,
             served: vec![None; daemons],
@@ -146,6 +150,7 @@
 
     fn populate(&mut self, members: usize, daemons: usize) {
         for member in 0..members {
+            self.members[member].replay_ticks = [0, 0, 1, 4, 12][self.rng.random_range(0..5)];
             let at = self.now + self.jitter(MEMBER_TICK);
             self.schedule(at, Event::MemberTick(member));
         }
@@ -554,7 +559,7 @@
     }
 
     fn session_act(&mut self, index: usize) {
-        let pause = Duration::from_millis(self.rng.random_range(10..60));
+        let pause = self.think.mul_f64(self.rng.random_range(0.3..2.0));
         self.schedule(self.now + pause, Event::SessionAct(index));
         if self.sessions[index].busy {
             return;
