--- a/crates/coordination/src/confirm.rs
+++ b/crates/coordination/src/confirm.rs
@@ -6,6 +6,7 @@
 //! grants the term shares a member with the confirming one.
 
 use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::time::Instant;
 
 use slotmap::{SecondaryMap, SlotMap};
@@ -160,12 +161,13 @@
             term: progress.promised,
             offset: 0,
         });
-        // The null ticket sorts behind every real one at its position, so the
-        // range must not begin at the position that is looked for.
+        // The null key sorts after all others, so this skips every commit at
+        // `lowest`.
+        let above = Bound::Excluded((lowest, ConfirmTicket::default()));
         self.by_position
-            .range((lowest, ConfirmTicket::default())..)
+            .range((above, Bound::Unbounded))
+            .next()
             .map(|&(position, _)| position)
-            .find(|position| *position > lowest)
     }
 
     /// Returns the number of pending commits.
