Replace a control connection that the other side has closed before the call

Cause: peers close idle connections after 30 s, and the next call then failed and counted as a sign that the peer is dead. Change: RpcChannel opens a new connection when the dispatch task has ended.

--- a/crates/transport/src/rpc/channel.rs
+++ b/crates/transport/src/rpc/channel.rs
@@ -43,6 +43,10 @@
         let dispatch = tokio::spawn(async move { meter.run(dispatch).await }).abort_handle();
         Self { client, dispatch }
     }
+
+    fn is_open(&self) -> bool {
+        !self.dispatch.is_finished()
+    }
 }
 
 impl<C> Drop for RpcConnection<C> {
@@ -119,7 +123,9 @@
 
     async fn client(&self) -> Result<(C, u64)> {
         let mut slot = self.slot.lock().await;
-        if let Some(connection) = &slot.connection {
+        // A connection that the other side closed while it was idle is replaced
+        // before the call, since the call would fail on it.
+        if let Some(connection) = slot.connection.as_ref().filter(|one| one.is_open()) {
             return Ok((connection.client.clone(), slot.generation));
         }
         let stream = TcpStream::connect(self.options.address)
--- a/crates/transport/tests/seams.rs
+++ b/crates/transport/tests/seams.rs
@@ -120,8 +120,9 @@
     expect_that!(control.report().await, ok(anything()));
 }
 
-/// Guards against a client that does not notice that a member came back, and
-/// one that takes a refused connection for silence.
+/// Guards against a client that does not notice that a member came back, one
+/// that takes a refused connection for silence, and one whose first call after
+/// the other side closed the connection fails for that reason only.
 #[gtest]
 #[tokio::test]
 async fn a_restarted_member_is_reached_again() {
@@ -138,4 +139,8 @@
     );
     cluster.restart_member(PRIMARY).await.unwrap();
     expect_that!(control.report().await, ok(anything()));
+    cluster.stop_member(PRIMARY);
+    cluster.restart_member(PRIMARY).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    expect_that!(control.report().await, ok(anything()));
 }
