Let DaemonHandle::serving wait for the groups as well

Cause: it returned when the document was in force, a moment before the groups were set up, so a listed group could be missing (seen once in 3 runs of tests/documents.rs). Change: it also waits until the first document was applied.

--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -75,6 +75,7 @@
     groups: GroupTable,
     peer: Arc<DaemonPeer>,
     metrics: Arc<DaemonMetrics>,
+    ready: watch::Receiver<bool>,
     shutdown: Arc<watch::Sender<bool>>,
     main: JoinHandle<()>,
 }
@@ -149,6 +150,7 @@
     parts.spawn_control(&mut tasks, ports, listeners.peer, listeners.metrics);
     let (peer, groups) = (parts.peer.clone(), parts.groups.clone());
     let (follower, metrics) = (parts.follower.clone(), parts.metrics.clone());
+    let ready = parts.ready.clone();
     let main = shutdown::run(parts, listeners.caller, tasks, shutdown.subscribe());
     DaemonHandle {
         addresses,
@@ -156,6 +158,7 @@
         groups,
         peer,
         metrics,
+        ready,
         shutdown,
         main: tokio::spawn(main),
     }
@@ -354,10 +357,13 @@
         &self.metrics
     }
 
-    /// Waits until the daemon serves callers.
+    /// Waits until the daemon serves callers and has the groups of its first
+    /// document.
     pub async fn serving(&self) {
         let mut serving = self.follower.serving.clone();
         let _ = serving.wait_for(|serving| *serving).await;
+        let mut ready = self.ready.clone();
+        let _ = ready.wait_for(|ready| *ready).await;
     }
 
     /// Starts the graceful shutdown.
