coordination: name the takers in the takeover row, lend to listed hosts only

Change: the row names its takers, and a name is removed only with a grant of that host; loans asked for before a lender's process changed are ignored; only listed hosts may borrow.

--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -8,10 +8,11 @@
 //!   host uses the smaller of its old and new allowance for [`DOCUMENT_SETTLE`].
 //! - Each connection of a share has one heir. The home host may use it only with
 //!   recent evidence: a grant from the heir, or a read of its own takeover row
-//!   in the table service that shows no takeover. The heir writes that row only
-//!   `takeover_after` after its last grant, and uses the connection only when
-//!   every earlier read of the row has lapsed. Each takeover writes the row
-//!   anew, so a late clearing by the home host conflicts.
+//!   in the table service that does not name the heir. The heir enters its name
+//!   there only `takeover_after` after its last grant, and uses the connection
+//!   only when every earlier read of the row has lapsed. The home host removes
+//!   a name only with a grant of that heir. Each takeover writes the row anew,
+//!   so a removal that arrives late conflicts.
 //! - A host that returns gets a connection back when its heir grants again,
 //!   which the heir does only after it has closed down to its remaining
 //!   allowance.
@@ -62,6 +63,15 @@
 /// Interval of requests for grants while a host starts or a peer releases.
 const QUICK_RENEWAL: Duration = Duration::from_millis(250);
 
+/// The takeover row of a host, as read. A missing row has revision 0.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TakeoverRow {
+    /// Revision in the table service.
+    pub revision: u64,
+    /// Names of the hosts that use, or may use, connections of the host.
+    pub takers: Vec<String>,
+}
+
 /// A step that is due.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShareAction {
@@ -72,11 +82,15 @@
     },
     /// Read the own takeover row from the table service.
     ReadOwnRow,
-    /// Clear the own takeover row at the revision last read.
-    ClearOwnRow,
-    /// Read the takeover row of this host and write it at that revision,
-    /// whether or not it is taken already, so that the revision rises. Ends
-    /// with [`ShareTable::end_takeover_attempt`].
+    /// Write the own takeover row if it still has this revision. It lacks the
+    /// hosts that have granted since. Then note it with its new revision.
+    WriteOwnRow {
+        /// Takers that remain, with the expected revision.
+        row: TakeoverRow,
+    },
+    /// Read the takeover row of this host, add this daemon's host to the takers
+    /// and write it, even if it is among them already, so that the revision
+    /// rises. Ends with [`ShareTable::end_takeover_attempt`].
     WriteTakeover {
         /// Name of the host that is taken over.
         host: String,
@@ -241,10 +255,10 @@
         self.renew_at = self.renew_at.min(now + QUICK_RENEWAL);
     }
 
-    /// Notes the own takeover row as read, or as cleared by this host; `sent_at`
-    /// is the instant before the request was sent.
-    pub fn note_own_row(&mut self, taken: bool, sent_at: Instant) {
-        self.leases.note_own_row(taken, sent_at);
+    /// Notes the own takeover row as read or written; `sent_at` is the instant
+    /// before the request was sent.
+    pub fn note_own_row(&mut self, row: TakeoverRow, sent_at: Instant) {
+        self.leases.note_own_row(row, sent_at);
     }
 
     /// Notes the end of an attempt to write a takeover row. `written` says that
@@ -257,9 +271,10 @@
     /// Answers a peer that asks for a grant. It ends a takeover of the peer's
     /// share at once and grants as soon as the connections are closed.
     pub fn answer_grant(&mut self, peer: &str, incarnation: u64, now: Instant) -> GrantAnswer {
-        self.leases.note_request(peer, incarnation);
-        for share in self.members.values_mut() {
-            share.loans.end_loans_of_earlier(peer, incarnation);
+        if self.leases.note_request(peer, incarnation, now) {
+            for share in self.members.values_mut() {
+                share.loans.end_taken_from(peer);
+            }
         }
         if self.over_allowance(now) {
             return GrantAnswer::Releasing;
@@ -271,12 +286,17 @@
     }
 
     /// Lends idle connections of the own share; returns how many. Nothing is
-    /// lent whose evidence might end before the loan does.
+    /// lent whose evidence might end before the loan does, and nothing to hosts
+    /// that the document does not list: after a restart this host asks only
+    /// listed ones whether they still have a loan.
     pub fn lend(&mut self, member: &str, request: &LoanRequest<'_>, now: Instant) -> u32 {
         let loan_end = now + LOAN_DURATION + SHARE_MARGIN;
         let Some(share) = self.members.get(member) else {
             return 0;
         };
+        if !share.layout.hosts().any(|host| host == request.borrower) {
+            return 0;
+        }
         let lasting = self.own_units(share, loan_end, now);
         let spare = self.allowance(member, now).saturating_sub(share.in_use);
         let free = lasting.saturating_sub(share.loans.given(now)).min(spare);
@@ -292,7 +312,7 @@
     /// Notes a loan that a peer granted. A late answer of an earlier process of
     /// the peer is ignored, because the present one does not know of it.
     pub fn note_loan(&mut self, member: &str, loan: &GrantedLoan<'_>) {
-        if !self.leases.is_present(loan.lender, loan.incarnation) {
+        if !self.leases.is_from_present(loan.lender, loan.sent_at) {
             return;
         }
         if let Some(share) = self.members.get_mut(member) {
@@ -332,8 +352,9 @@
         let all_granted = heirs.iter().all(|heir| self.leases.is_granted(heir, ahead));
         if !all_granted {
             actions.push(ShareAction::ReadOwnRow);
-        } else if self.leases.row_taken() {
-            actions.push(ShareAction::ClearOwnRow);
+        }
+        if let Some(row) = self.leases.released_row(now) {
+            actions.push(ShareAction::WriteOwnRow { row });
         }
         for host in self.bequeathing_hosts() {
             if !is_gone(&host) {
--- a/crates/coordination/src/shares/leases.rs
+++ b/crates/coordination/src/shares/leases.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::{GrantNote, SHARE_MARGIN};
+use super::{GrantNote, TakeoverRow, SHARE_MARGIN};
 
 /// Progress of the takeover of one peer's share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
     granted_at: Instant,
     takeover: TakeoverState,
     incarnation: Option<u64>,
+    /// When the incarnation last differed from the one before.
+    changed_at: Option<Instant>,
 }
 
 /// Leases between this host and its peers.
@@ -46,8 +48,8 @@
     takeover_after: Duration,
     started_at: Instant,
     peers: BTreeMap<String, PeerLease>,
-    row_clear_until: Option<Instant>,
-    row_taken: bool,
+    /// Own takeover row as last read, and until when that is evidence.
+    own_row: Option<(TakeoverRow, Instant)>,
     attempts: u64,
 }
 
@@ -59,8 +61,7 @@
             takeover_after: takeover_after.max(SHARE_MARGIN * 8),
             started_at: now,
             peers: BTreeMap::new(),
-            row_clear_until: None,
-            row_taken: false,
+            own_row: None,
             attempts: 0,
         }
     }
@@ -76,6 +77,7 @@
                 granted_at: self.started_at,
                 takeover: TakeoverState::None,
                 incarnation: None,
+                changed_at: None,
             };
             self.peers.insert(name.to_owned(), lease);
         }
@@ -90,22 +92,33 @@
         lease.granted_until = lease.granted_until.max(Some(until));
     }
 
-    pub(super) fn note_own_row(&mut self, taken: bool, sent_at: Instant) {
-        self.row_taken = taken;
-        if !taken {
-            let until = sent_at + self.takeover_after / 2 - SHARE_MARGIN * 2;
-            self.row_clear_until = self.row_clear_until.max(Some(until));
+    pub(super) fn note_own_row(&mut self, row: TakeoverRow, sent_at: Instant) {
+        let until = sent_at + self.takeover_after / 2 - SHARE_MARGIN * 2;
+        let known = self.own_row.as_ref();
+        // Answers may arrive out of order.
+        let newer = known.is_none_or(|(known, known_until)| {
+            (known.revision, *known_until) < (row.revision, until)
+        });
+        if newer {
+            self.own_row = Some((row, until));
         }
     }
 
-    pub(super) fn row_taken(&self) -> bool {
-        self.row_taken
+    /// Returns the own row without the takers whose grants hold, if any do.
+    pub(super) fn released_row(&self, now: Instant) -> Option<TakeoverRow> {
+        let (row, _) = self.own_row.as_ref()?;
+        let mut takers = row.takers.clone();
+        takers.retain(|taker| !self.is_granted(taker, now));
+        let revision = row.revision;
+        (takers != row.takers).then_some(TakeoverRow { revision, takers })
     }
 
     /// Returns until when this host may use units with this heir.
     pub(super) fn evidence_until(&self, heir: &str) -> Option<Instant> {
         let granted = self.peers.get(heir).and_then(|lease| lease.granted_until);
-        granted.max(self.row_clear_until)
+        let row = self.own_row.as_ref();
+        let clear = row.filter(|(row, _)| row.takers.iter().all(|taker| taker != heir));
+        granted.max(clear.map(|(_, until)| *until))
     }
 
     /// Tells whether a peer's own grant holds, whatever the row shows.
@@ -125,17 +138,25 @@
             .is_some_and(|lease| lease.same_document)
     }
 
-    /// Tells whether a message of the peer is not from an earlier process.
-    pub(super) fn is_present(&self, peer: &str, incarnation: u64) -> bool {
-        let known = self.peers.get(peer).and_then(|lease| lease.incarnation);
-        known.is_none_or(|known| known == incarnation)
+    /// Tells whether a loan that was asked for at `sent_at` is from the peer's
+    /// present process. Incarnations have no order, and a late message of an
+    /// earlier process may make it look like the present one; but that process
+    /// cannot have answered what was asked after a later one was first heard.
+    pub(super) fn is_from_present(&self, peer: &str, sent_at: Instant) -> bool {
+        let changed_at = self.peers.get(peer).and_then(|lease| lease.changed_at);
+        changed_at.is_none_or(|changed_at| sent_at >= changed_at)
     }
 
     /// Notes a peer's request for a grant, which ends a takeover of its share.
-    pub(super) fn note_request(&mut self, peer: &str, incarnation: u64) {
+    /// Returns whether it comes from another process than the last one.
+    pub(super) fn note_request(&mut self, peer: &str, incarnation: u64, now: Instant) -> bool {
         let lease = self.peer(peer);
         lease.takeover = TakeoverState::None;
-        lease.incarnation = Some(incarnation);
+        let changed = lease.incarnation.replace(incarnation) != Some(incarnation);
+        if changed {
+            lease.changed_at = Some(now);
+        }
+        changed
     }
 
     pub(super) fn note_given(&mut self, peer: &str, now: Instant) {
--- a/crates/coordination/src/shares/loans.rs
+++ b/crates/coordination/src/shares/loans.rs
@@ -74,11 +74,10 @@
         self.taken.insert(name, LoanEntry { count, until });
     }
 
-    /// Ends the loans from earlier processes of a peer, which the present one
-    /// does not know of.
-    pub(super) fn end_loans_of_earlier(&mut self, lender: &str, incarnation: u64) {
-        self.taken
-            .retain(|name, _| name.peer != lender || name.incarnation == incarnation);
+    /// Ends all loans from a lender whose process has changed, because the
+    /// present one does not know of them.
+    pub(super) fn end_taken_from(&mut self, lender: &str) {
+        self.taken.retain(|name, _| name.peer != lender);
     }
 }
 
--- a/crates/coordination/tests/shares.rs
+++ b/crates/coordination/tests/shares.rs
@@ -6,7 +6,7 @@
 
 use coordination::shares::{
     serving_hosts, GrantAnswer, GrantNote, GrantedLoan, LoanId, LoanRequest, MemberLayout,
-    ServingHost, ShareAction, ShareTable,
+    ServingHost, ShareAction, ShareTable, TakeoverRow,
 };
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -52,11 +52,7 @@
         count: u32,
         sent_at: Instant,
     },
-    RowRead {
-        taken: bool,
-        revision: u64,
-        sent_at: Instant,
-    },
+    RowRead(TakeoverRow, Instant),
     TakeoverEnded {
         host: usize,
         attempt: u64,
@@ -65,24 +61,17 @@
 
 /// Request to the table service on its way there.
 enum RowRequest {
-    ReadOwn { sent_at: Instant },
-    ClearOwn { revision: u64, sent_at: Instant },
+    ReadOwn(Instant),
+    WriteOwn(TakeoverRow, Instant),
     Take { host: usize, attempt: u64 },
 }
 
-#[derive(Clone, Copy, Default)]
-struct TakeoverRow {
-    revision: u64,
-    taken: bool,
-}
-
 struct SimProcess {
     incarnation: u64,
     table: ShareTable,
     version: usize,
     adopted_at: Instant,
     adopts_next_at: Instant,
-    row_revision: u64,
     in_use: [u32; MEMBERS.len()],
     over_since: [Option<Instant>; MEMBERS.len()],
     next_loan: u64,
@@ -211,7 +200,6 @@
             version,
             adopted_at: self.now,
             adopts_next_at: self.published_at + Duration::from_secs(9),
-            row_revision: 0,
             in_use: [0; MEMBERS.len()],
             over_since: [None; MEMBERS.len()],
             next_loan: 0,
@@ -301,32 +289,18 @@
 
     fn apply(&mut self, from: usize, request: RowRequest) -> ShareMessage {
         match request {
-            RowRequest::ReadOwn { sent_at } => {
-                let TakeoverRow { revision, taken } = self.rows[from];
-                ShareMessage::RowRead {
-                    taken,
-                    revision,
-                    sent_at,
-                }
-            }
-            RowRequest::ClearOwn { revision, sent_at } => {
-                let row = &mut self.rows[from];
-                if row.revision == revision {
-                    *row = TakeoverRow {
-                        revision: revision + 1,
-                        taken: false,
-                    };
-                }
-                let TakeoverRow { revision, taken } = *row;
-                ShareMessage::RowRead {
-                    taken,
-                    revision,
-                    sent_at,
+            RowRequest::ReadOwn(sent_at) => ShareMessage::RowRead(self.rows[from].clone(), sent_at),
+            RowRequest::WriteOwn(mut row, sent_at) => {
+                if self.rows[from].revision == row.revision {
+                    row.revision += 1;
+                    self.rows[from] = row;
                 }
+                ShareMessage::RowRead(self.rows[from].clone(), sent_at)
             }
             RowRequest::Take { host, attempt } => {
-                self.rows[host].revision += 1;
-                self.rows[host].taken = true;
+                let row = &mut self.rows[host];
+                row.revision += 1;
+                row.takers.push(HOSTS[from].0.to_owned());
                 ShareMessage::TakeoverEnded { host, attempt }
             }
         }
@@ -432,14 +406,7 @@
                 process.table.note_loan(MEMBERS[member].0, &loan);
                 self.loans += u64::from(count > 0);
             }
-            ShareMessage::RowRead {
-                taken,
-                revision,
-                sent_at,
-            } => {
-                process.row_revision = revision;
-                process.table.note_own_row(taken, sent_at);
-            }
+            ShareMessage::RowRead(row, sent_at) => process.table.note_own_row(row, sent_at),
             ShareMessage::TakeoverEnded { host, attempt } => {
                 self.takeovers += 1;
                 process
@@ -475,7 +442,7 @@
             return;
         };
         let actions = process.table.due(|name| gone[host_index(name)], now);
-        let (incarnation, revision) = (process.incarnation, process.row_revision);
+        let incarnation = process.incarnation;
         for action in actions {
             match action {
                 ShareAction::AskGrant { host: peer } => {
@@ -485,17 +452,9 @@
                     };
                     self.send(host, host_index(&peer), None, ask);
                 }
-                ShareAction::ReadOwnRow => {
-                    self.request(host, RowRequest::ReadOwn { sent_at: now });
-                }
-                ShareAction::ClearOwnRow => {
-                    self.request(
-                        host,
-                        RowRequest::ClearOwn {
-                            revision,
-                            sent_at: now,
-                        },
-                    );
+                ShareAction::ReadOwnRow => self.request(host, RowRequest::ReadOwn(now)),
+                ShareAction::WriteOwnRow { row } => {
+                    self.request(host, RowRequest::WriteOwn(row, now));
                 }
                 ShareAction::WriteTakeover {
                     host: peer,
