coordination: add fixed cases for takeover, loans and vouching

Cause: in trials the random runs did not notice every rule that was switched off. Change: three tables of fixed instants for the takeover, loans and vouching.

--- a/crates/coordination/tests/shares.rs
+++ b/crates/coordination/tests/shares.rs
@@ -652,3 +652,109 @@
     expect_that!(most, le(50));
     expect_that!(moved, eq(groups["host-0007"]));
 }
+
+const HEIR: &str = "y1";
+
+/// A table of `own` where `x1` and `y1` serve a member of a third data centre
+/// with 4 connections: each has 2 and is the heir of the other.
+fn pair_table(own: &str, now: Instant) -> ShareTable {
+    let mut table = ShareTable::new(own, TAKEOVER_AFTER, now);
+    table.set_member("m", pair_layout(&["x1", HEIR]), now);
+    let peer = if own == HEIR { "x1" } else { HEIR };
+    grant(&mut table, peer, now);
+    table
+}
+
+fn pair_layout(names: &[&str]) -> MemberLayout {
+    let hosts = names.iter().map(|name| ServingHost {
+        name: (*name).to_owned(),
+        data_centre: format!("dc-{name}"),
+    });
+    MemberLayout::new("dc-member", 4, hosts.collect())
+}
+
+fn grant(table: &mut ShareTable, peer: &str, sent_at: Instant) {
+    table.note_grant(&GrantNote {
+        peer,
+        sent_at,
+        same_document: true,
+        settled: true,
+    });
+}
+
+fn takeover_attempt(table: &mut ShareTable, now: Instant) -> Option<u64> {
+    let actions = table.due(|_| true, now);
+    actions.into_iter().find_map(|action| match action {
+        ShareAction::WriteTakeover { attempt, .. } => Some(attempt),
+        _ => None,
+    })
+}
+
+/// Guards against a takeover that the home host's evidence still overlaps, and
+/// against a late answer to a write that the home host has undone since.
+#[gtest]
+fn heir_waits_for_every_kind_of_evidence_to_lapse() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut heir = pair_table(HEIR, start);
+    expect_that!(takeover_attempt(&mut heir, at(14_900)), none());
+    let first = takeover_attempt(&mut heir, at(18_000)).expect("due");
+    heir.answer_grant("x1", 7, at(18_100));
+    expect_that!(takeover_attempt(&mut heir, at(33_000)), none());
+    let second = takeover_attempt(&mut heir, at(36_000)).expect("due");
+    grant(&mut heir, "x1", at(36_000));
+    heir.end_takeover_attempt("x1", first, true, at(36_100));
+    expect_that!(heir.allowance("m", at(45_000)), eq(2));
+    heir.end_takeover_attempt("x1", second, true, at(36_200));
+    expect_that!(heir.allowance("m", at(43_600)), eq(2));
+    expect_that!(heir.allowance("m", at(43_700)), eq(4));
+    heir.answer_grant("x1", 7, at(43_800));
+    expect_that!(heir.allowance("m", at(43_800)), eq(2));
+}
+
+/// Guards against loans that outlive the lender's right, and against a late
+/// loan from an earlier process of the lender.
+#[gtest]
+fn loans_end_with_the_evidence_and_the_process() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let request = |id| LoanRequest {
+        borrower: HEIR,
+        incarnation: 5,
+        id: LoanId(id),
+        count: 1,
+    };
+    let mut lender = pair_table("x1", start);
+    expect_that!(lender.lend("m", &request(1), at(7_000)), eq(1));
+    expect_that!(lender.allowance("m", at(11_900)), eq(1));
+    expect_that!(lender.lend("m", &request(2), at(8_100)), eq(0));
+    let mut borrower = pair_table(HEIR, start);
+    borrower.answer_grant("x1", 7, at(100));
+    let loan = |sent_at| GrantedLoan {
+        lender: "x1",
+        incarnation: 7,
+        id: LoanId(1),
+        count: 1,
+        sent_at,
+    };
+    borrower.note_loan("m", &loan(at(200)));
+    expect_that!(borrower.allowance("m", at(300)), eq(3));
+    expect_that!(borrower.allowance("m", at(3_200)), eq(2));
+    borrower.answer_grant("x1", 8, at(400));
+    borrower.note_loan("m", &loan(at(390)));
+    expect_that!(borrower.allowance("m", at(500)), eq(2));
+}
+
+/// Guards against a new host that starts while a removed one still has a share.
+#[gtest]
+fn hosts_vouch_only_when_no_removed_host_has_a_share() {
+    let start = Instant::now();
+    let mut table = pair_table("x1", start);
+    table.set_member("m", pair_layout(&["x1", HEIR, "z1"]), start);
+    let vouch = |vouches| GrantAnswer::Granted { vouches };
+    expect_that!(table.answer_grant(HEIR, 7, start), eq(vouch(true)));
+    table.set_member("m", pair_layout(&["x1", "z1"]), start);
+    expect_that!(table.answer_grant("z1", 7, start), eq(vouch(false)));
+    let settled = start + Duration::from_secs(15);
+    expect_that!(table.answer_grant("z1", 7, settled), eq(vouch(true)));
+}
