--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Admission under seeded load: goodput, fairness, bounds, and that a refused
 //! request never runs.
 
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
 
 use coordination::admission::{
@@ -64,7 +64,8 @@
     sources: &'a [LoadSource],
     queue: AdmissionQueue,
     events: BinaryHeap<std::cmp::Reverse<(Instant, LoadEvent)>>,
-    owners: HashMap<TicketKey, (usize, Instant)>,
+    owners: BTreeMap<TicketKey, (usize, Instant)>,
+    churn: bool,
     tallies: Vec<SourceTally>,
 }
 
@@ -119,6 +120,28 @@
         }
     }
 
+    fn cancel_or_resize(&mut self, now: Instant) {
+        if self.rng.random_bool(0.1) {
+            let limit = self.rng.random_range(0..=SLOTS);
+            let actions = self.queue.set_in_flight_limit(limit, now);
+            self.act(actions, now);
+        }
+        let count = self.owners.len();
+        if count == 0 || self.rng.random_bool(0.8) {
+            return;
+        }
+        let index = self.rng.random_range(0..count);
+        let (&ticket, &(source, _)) = self.owners.iter().nth(index).expect("counted");
+        match self.queue.cancel(ticket) {
+            CancelAnswer::NotRun => {
+                self.owners.remove(&ticket);
+                self.tallies[source].refused += 1;
+            }
+            CancelAnswer::Running => {}
+            CancelAnswer::Gone => panic!("a live ticket is gone"),
+        }
+    }
+
     fn end(&mut self, ticket: TicketKey, service: Duration, now: Instant) {
         let (source, deadline) = self.owners.remove(&ticket).expect("ended once");
         self.tallies[source].ran += 1;
@@ -128,8 +151,9 @@
     }
 }
 
-/// Drives a queue with Poisson arrivals and exponential service times.
-fn drive(sources: &[LoadSource], seconds: u64, seed: u64) -> Vec<SourceTally> {
+/// Drives a queue with Poisson arrivals and exponential service times; with
+/// `churn` callers cancel and the limit in flight changes.
+fn drive(sources: &[LoadSource], seconds: u64, seed: u64, churn: bool) -> Vec<SourceTally> {
     let start = Instant::now();
     let end = start + Duration::from_secs(seconds);
     let mut run = LoadRun {
@@ -137,13 +161,17 @@
         sources,
         queue: queue(1_000, start),
         events: BinaryHeap::new(),
-        owners: HashMap::new(),
+        owners: BTreeMap::new(),
+        churn,
         tallies: vec![SourceTally::default(); sources.len()],
     };
     for source in 0..sources.len() {
         run.arrive(source, start);
     }
     while let Some(std::cmp::Reverse((now, event))) = run.events.pop() {
+        if run.churn {
+            run.cancel_or_resize(now);
+        }
         if run.queue.next_deadline().is_some_and(|due| due <= now) {
             let actions = run.queue.expire(now);
             run.act(actions, now);
@@ -154,6 +182,10 @@
             LoadEvent::End(ticket, service) => run.end(ticket, service, now),
         }
     }
+    while let Some(due) = run.queue.next_deadline() {
+        let actions = run.queue.expire(due);
+        run.act(actions, due);
+    }
     assert!(run.owners.is_empty(), "a request was lost");
     for tally in &run.tallies {
         assert_eq!(tally.offered, tally.ran + tally.refused);
@@ -184,7 +216,7 @@
                 slowness: 1.0,
             })
             .collect();
-        let tallies = drive(&sources, 20, seed());
+        let tallies = drive(&sources, 20, seed(), false);
         let in_time: u64 = tallies.iter().map(|tally| tally.in_time).sum();
         let late: u64 = tallies.iter().map(|tally| tally.ran - tally.in_time).sum();
         let goodput = in_time as f64 / 20.0;
@@ -214,7 +246,7 @@
         source(1, 1, 1.0, 3.0),
         source(2, 2, 1.0, 1.0),
     ];
-    let tallies = drive(&sources, 20, seed());
+    let tallies = drive(&sources, 20, seed(), false);
     let total: f64 = tallies.iter().map(|tally| tally.service).sum();
     let shares: Vec<f64> = tallies.iter().map(|tally| tally.service / total).collect();
     println!("shares of slot time for weights 1, 1, 2: {shares:.3?}");
@@ -234,7 +266,7 @@
         load,
         slowness: 1.0,
     };
-    let tallies = drive(&[source(0, 0, 3.0), source(1, 9, 1.0)], 20, seed());
+    let tallies = drive(&[source(0, 0, 3.0), source(1, 9, 1.0)], 20, seed(), false);
     let total: u64 = tallies.iter().map(|tally| tally.ran).sum();
     let share = tallies[1].ran as f64 / total as f64;
     println!("share of the lowest priority: {share:.3}");
@@ -242,6 +274,24 @@
     expect_that!(share, le(0.08));
 }
 
+/// Guards against requests that are lost, answered twice or run after a refusal
+/// when callers cancel and the limit in flight changes.
+#[gtest]
+fn no_request_is_lost_under_churn() {
+    let customers = customers(4);
+    let sources: Vec<LoadSource> = (0..4)
+        .map(|index| LoadSource {
+            customer: customers[index],
+            weight: 1 + index as u64,
+            priority: index as u8 / 2 * 3,
+            load: 0.5,
+            slowness: 1.0,
+        })
+        .collect();
+    let tallies = drive(&sources, 10, seed(), true);
+    expect_that!(tallies.iter().all(|tally| tally.ran > 100), eq(true));
+}
+
 /// Guards against wrong answers at the edges of the bounds.
 #[gtest]
 fn bounds_and_deadlines_are_answered_as_not_run() {
