transport: replace silent connections, take pending bounds behind primary reads

Cause: an exchange on a connection that stopped responding used up its whole deadline; reads in primary transactions left no pending bound.

--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -262,6 +262,22 @@
             .is_ok_and(|length| length.is_some_and(|length| length <= self.input.len()))
     }
 
+    /// Waits for the first byte of an answer; returns false when none has come
+    /// by `instant`.
+    pub async fn has_input_by(&self, instant: Instant) -> bool {
+        if !self.input.is_empty() {
+            return true;
+        }
+        timeout_at(instant.into(), self.stream.readable())
+            .await
+            .is_ok()
+    }
+
+    /// Takes what has arrived; tells whether an answer has begun.
+    pub fn is_readable(&mut self) -> bool {
+        !self.input.is_empty() || !matches!(self.receive_ready(), Ok(false))
+    }
+
     /// Waits until the socket has something to read, or was closed.
     pub async fn readable(&self) -> std::io::Result<()> {
         self.stream.readable().await
--- a/crates/transport/src/caller/context.rs
+++ b/crates/transport/src/caller/context.rs
@@ -150,6 +150,15 @@
         groups.values().cloned().collect()
     }
 
+    /// Brings the metric of the queues up to date, before it is read.
+    pub fn observe_queues(&self) {
+        for pool in self.groups().iter().flat_map(|group| group.pools()) {
+            let queued = i64::try_from(pool.gate().queued()).unwrap_or(i64::MAX);
+            let gauge = self.metrics.queued.with_label_values(&[pool.name()]);
+            gauge.set(queued);
+        }
+    }
+
     pub(crate) fn customer_key(&self, name: &str) -> CustomerKey {
         let mut names = self.names.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(key) = names.customer_keys.get(name) {
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Mutex as AsyncMutex};
 use tokio::time::timeout_at;
 
 use crate::backend::{BackendConnection, BackendError, BackendIdentity};
@@ -24,6 +24,9 @@
 /// that a dead server leaves time for another one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for which the outcome of a sibling probe is used again.
+const PROBE_SPACING: Duration = Duration::from_millis(250);
+
 /// Result of taking a connection.
 pub type Result<T> = std::result::Result<T, PoolError>;
 
@@ -44,9 +47,17 @@
     identity: BackendIdentity,
     gate: Arc<AdmissionGate>,
     in_use: AtomicUsize,
+    sibling: AsyncMutex<Option<SiblingProbe>>,
     state: Mutex<PoolState>,
 }
 
+/// Outcome of the last probe with a new connection.
+#[derive(Clone, Copy, Debug)]
+struct SiblingProbe {
+    ended_at: Instant,
+    answered: bool,
+}
+
 /// # Invariants
 ///
 /// `open` counts the connections that are idle, in use, being opened or being
@@ -74,6 +85,7 @@
             identity,
             gate,
             in_use: AtomicUsize::new(0),
+            sibling: AsyncMutex::new(None),
             state: Mutex::new(PoolState {
                 idle: Vec::new(),
                 open: 0,
@@ -163,12 +175,24 @@
         Ok(pooled)
     }
 
-    /// Opens a connection beside the pool to find out whether the server is
-    /// alive.
-    pub async fn probe(&self, deadline: Instant) -> bool {
-        BackendConnection::connect(self.address, &self.identity, deadline)
-            .await
-            .is_ok()
+    /// Tells whether a new connection is answered, which shows that the server
+    /// is alive. Silent exchanges that ask at the same time share one probe.
+    pub async fn sibling_answers(&self, deadline: Instant) -> bool {
+        let mut last = self.sibling.lock().await;
+        if let Some(probe) = *last {
+            if probe.ended_at.elapsed() < PROBE_SPACING {
+                return probe.answered;
+            }
+        }
+        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let opened = BackendConnection::connect(self.address, &self.identity, deadline).await;
+        // A refusal, for instance at the connection limit, is an answer too.
+        let answered = matches!(opened, Ok(_) | Err(BackendError::Refused { .. }));
+        *last = Some(SiblingProbe {
+            ended_at: Instant::now(),
+            answered,
+        });
+        answered
     }
 
     fn take_now(
--- a/crates/transport/src/session/exchange.rs
+++ b/crates/transport/src/session/exchange.rs
@@ -13,6 +13,7 @@
 use coordination::retry::SendProgress;
 
 use crate::backend::{BackendConnection, BackendError};
+use crate::pool::PooledConnection;
 
 /// Text of the position query.
 pub(super) const POSITION_QUERY: &str = "SELECT role, term, \"offset\" FROM cassia_position";
@@ -92,7 +93,9 @@
 /// Runs exchanges for one caller.
 pub(super) struct ExchangeRunner<'a> {
     io: &'a mut CallerIo,
-    connection: &'a mut BackendConnection,
+    connection: &'a mut PooledConnection,
+    /// When the connection counts as silent, until its first byte has arrived.
+    silent_at: Option<Instant>,
     /// Where the answer starts in the caller's output.
     floor: usize,
     /// Start of the CommandComplete that is held, if it is the last frame.
@@ -106,13 +109,16 @@
 /// caller's output, unless a part was sent already.
 pub(super) async fn run(
     io: &mut CallerIo,
-    connection: &mut BackendConnection,
+    connection: &mut PooledConnection,
     order: &ExchangeOrder<'_>,
 ) -> Result<ExchangeReport, ExchangeFailure> {
     let floor = io.output.len();
+    let now = Instant::now();
+    let silent_at = now + order.deadline.saturating_duration_since(now) / 2;
     let mut runner = ExchangeRunner {
         io,
         connection,
+        silent_at: Some(silent_at),
         floor,
         last_complete: None,
         answer_started: false,
@@ -171,7 +177,7 @@
         order: &ExchangeOrder<'_>,
     ) -> Result<(), RelayError> {
         loop {
-            let frame = self.connection.next_frame(order.deadline).await?;
+            let frame = self.next_frame(order.deadline).await?;
             match frame.tag() {
                 tag::READY => return Ok(()),
                 tag::ERROR if self.report.prefix_error.is_none() => {
@@ -182,6 +188,23 @@
         }
     }
 
+    /// Returns the next frame. When half the deadline has passed without a
+    /// byte, a new connection tells whether the server or the connection is at
+    /// fault; a silent connection of a live server is given up.
+    async fn next_frame(&mut self, deadline: Instant) -> Result<WireFrame, RelayError> {
+        if let Some(silent_at) = self.silent_at.take() {
+            if !self.connection.has_input_by(silent_at).await {
+                let pool = self.connection.pool().clone();
+                if pool.sibling_answers(deadline).await && !self.connection.is_readable() {
+                    pool.close_idle_before(self.connection.received_at());
+                    let reason = "silent while the server answers others";
+                    return Err(BackendError::Lost(reason.to_owned()).into());
+                }
+            }
+        }
+        Ok(self.connection.next_frame(deadline).await?)
+    }
+
     async fn relay(
         &mut self,
         plan: &mut ReplyPlan,
@@ -195,7 +218,7 @@
             if plan.is_done() {
                 return Ok(());
             }
-            let frame = self.connection.next_frame(deadline).await?;
+            let frame = self.next_frame(deadline).await?;
             self.take_frame(&frame, plan, order).await?;
             if !self.connection.has_frame() {
                 deadline = deadline.max(Instant::now() + order.patience);
--- a/crates/transport/src/session/primary.rs
+++ b/crates/transport/src/session/primary.rs
@@ -70,11 +70,13 @@
     ) -> Result<PrimaryEnd> {
         let summary = run.summary;
         let may_commit = may_commit(run.work, summary, place);
+        let ends_outside = ends_outside(run.work, summary, place);
         let order = ExchangeOrder {
             prefix: run.prefix,
             needs_prefix: run.needs_prefix,
             work: run.work,
-            ask_position: may_commit,
+            // Behind reads too: what the primary showed becomes a pending bound.
+            ask_position: ends_outside,
             hold: may_commit,
             deadline,
             patience: policy.statement,
@@ -96,6 +98,9 @@
                 return Ok(failed(ErrorClass::ConnectionLost, SendProgress::Sent));
             }
         }
+        if let Some(reading) = report.position {
+            self.bound.note_read(reading.position);
+        }
         if !may_commit || !has_committed(connection.status(), summary, &report) {
             return Ok(PrimaryEnd::Answered(report));
         }
@@ -183,8 +188,13 @@
 /// Tells whether a transaction that may have written may end in the work.
 fn may_commit(work: &Work<'_>, summary: &WorkSummary, place: PrimaryPlace) -> bool {
     let writes = summary.writes || place.wrote || summary.opaque;
+    writes && ends_outside(work, summary, place)
+}
+
+/// Tells whether the work may end outside a transaction.
+fn ends_outside(work: &Work<'_>, summary: &WorkSummary, place: PrimaryPlace) -> bool {
     let open_end = place.in_transaction || summary.begins;
-    writes && work.is_synced() && (!open_end || summary.may_end())
+    work.is_synced() && (!open_end || summary.may_end())
 }
 
 /// Tells whether something may have committed.
--- a/crates/transport/tests/sessions.rs
+++ b/crates/transport/tests/sessions.rs
@@ -585,3 +585,67 @@
     let count = rows(&client, "SELECT count(*) FROM t").await.unwrap();
     expect_that!(count, elements_are![eq("0")]);
 }
+
+/// A connection that stopped responding must not fail a read while the server
+/// answers new connections.
+#[gtest]
+#[tokio::test]
+async fn a_silent_connection_is_replaced() {
+    let settings = ClusterSettings {
+        use_relays: true,
+        ..ClusterSettings::default()
+    };
+    let (cluster, proxy) = start(settings).await;
+    let client = proxy.connect().await;
+    client
+        .batch_execute("SET cassia.deadline_ms = 1000")
+        .await
+        .unwrap();
+    for _ in 0..5 {
+        rows(&client, "SELECT 1").await.unwrap();
+    }
+    for member in 0..3 {
+        let address = standin::cluster::MemberAddress { group: 0, member };
+        cluster.relays(address).unwrap().statements.silence();
+    }
+    let found = rows(&client, "SELECT 2").await.unwrap();
+    expect_that!(found, elements_are![eq("2")]);
+}
+
+/// A primary that no replica follows any more must not have its commits
+/// acknowledged, although the proxy still reaches it for statements.
+#[gtest]
+#[tokio::test]
+async fn a_superseded_primary_acknowledges_nothing() {
+    let settings = ClusterSettings {
+        use_relays: true,
+        ..ClusterSettings::default()
+    };
+    let (cluster, proxy) = start(settings).await;
+    let client = proxy.connect().await;
+    client
+        .batch_execute("CREATE TABLE t (id int)")
+        .await
+        .unwrap();
+    let open = proxy.connect().await;
+    open.batch_execute("BEGIN; INSERT INTO t VALUES (-1)")
+        .await
+        .unwrap();
+    let relays = cluster.relays(PRIMARY).unwrap();
+    relays.replication.set_cut(true);
+    relays.control.set_cut(true);
+    sleep(Duration::from_millis(50)).await;
+    let error = open.batch_execute("COMMIT").await.unwrap_err();
+    expect_that!(error_of(&error).1, eq("cassia_code=2001"));
+    let mut acknowledged = Vec::new();
+    for id in 0..10 {
+        let text = format!("INSERT INTO t VALUES ({id})");
+        match client.batch_execute(&text).await {
+            Ok(()) => acknowledged.push(id.to_string()),
+            Err(error) => expect_that!(error_of(&error).1, eq("cassia_code=2001")),
+        }
+    }
+    expect_that!(acknowledged.len(), gt(0));
+    let found = rows(&client, "SELECT id FROM t ORDER BY id").await.unwrap();
+    expect_that!(found, eq(&acknowledged));
+}
