--- a/crates/transport/tests/pipelines.rs
+++ b/crates/transport/tests/pipelines.rs
@@ -10,6 +10,7 @@
 use postgres_protocol::message::frontend;
 use proxy::{rows, start, GROUP};
 use raw::RawCaller;
+use standin::backend::BackendSettings;
 use standin::cluster::ClusterSettings;
 
 /// Adds frames to a caller's output.
@@ -156,3 +157,38 @@
     let pools = proxy.context.groups()[0].pools();
     expect_that!(pools.iter().map(|pool| pool.in_use()).sum::<u32>(), eq(0));
 }
+
+/// The rest of an answer whose caller left halfway must not reach the next
+/// caller: with one connection, reusing it would mix the two.
+#[gtest]
+#[tokio::test]
+async fn an_answer_left_halfway_reaches_nobody() {
+    let settings = ClusterSettings {
+        members: 1,
+        member: BackendSettings {
+            connection_limit: 1,
+            ..BackendSettings::default()
+        },
+        ..ClusterSettings::default()
+    };
+    let (_cluster, proxy) = start(settings).await;
+    let client = proxy.connect().await;
+    let body = "x".repeat(5_000);
+    let values: Vec<String> = (0..60).map(|id| format!("({id}, '{body}')")).collect();
+    let insert = format!("INSERT INTO t VALUES {}", values.join(","));
+    client
+        .batch_execute("CREATE TABLE t (id int, body text)")
+        .await
+        .unwrap();
+    client.batch_execute(&insert).await.unwrap();
+    for round in 0..3 {
+        let mut caller = RawCaller::connect(proxy.address.port(), GROUP).await;
+        frontend::query("SELECT a.body FROM t a, t b", &mut caller.output).unwrap();
+        caller.send().await;
+        caller.frame().await;
+        drop(caller);
+        let text = format!("SELECT 'new-{round}'");
+        let found = rows(&client, &text).await.unwrap();
+        expect_that!(found, elements_are![eq(&format!("new-{round}"))]);
+    }
+}
