--- a/crates/coordination/src/watermark.rs
+++ b/crates/coordination/src/watermark.rs
@@ -138,7 +138,7 @@
 /// # Invariants
 ///
 /// `asked_at` and `position` both rise strictly, and there are at most
-/// [`ANCHOR_LIMIT`] anchors. Dropping an anchor only raises measured ages, so
+/// 400 anchors. Dropping an anchor only raises measured ages, so
 /// thinning keeps them upper limits.
 #[derive(Clone, Debug, Default)]
 pub struct AnchorHistory {
@@ -178,7 +178,10 @@
         self.anchors.push(watermark);
         self.thin(watermark.asked_at);
         debug_assert!(self.is_ordered());
-        assert!(self.anchors.len() <= ANCHOR_LIMIT);
+        assert!(
+            self.anchors.len() <= ANCHOR_LIMIT,
+            "the anchor history is bounded"
+        );
     }
 
     fn thin(&mut self, newest_asked_at: Instant) {
--- a/crates/coordination/tests/model/daemon.rs
+++ b/crates/coordination/tests/model/daemon.rs
@@ -381,7 +381,7 @@
         }
         let member = self.keys[at];
         if let ControlAnswer::Report(report) = answer {
-            self.note_report(at, epoch, &report, asked_at, now);
+            self.note_report(at, epoch, &report, asked_at);
         }
         let step = match answer {
             ControlAnswer::Report(report) => StepAnswer::Accepted(report),
@@ -416,14 +416,7 @@
         self.drive(event, now, out, rng);
     }
 
-    fn note_report(
-        &mut self,
-        at: usize,
-        epoch: u64,
-        report: &MemberReport,
-        asked_at: Instant,
-        now: Instant,
-    ) {
+    fn note_report(&mut self, at: usize, epoch: u64, report: &MemberReport, asked_at: Instant) {
         let key = self.keys[at];
         let view = &mut self.view.members[key];
         view.reachable = true;
@@ -442,7 +435,6 @@
         for watermark in finished {
             self.note_watermark(&watermark);
         }
-        let _ = now;
     }
 
     fn note_watermark(&mut self, watermark: &GroupWatermark) {
