Follow the takeover rows with several takers

Cause: coordination::shares now names all takers of a row and carries its revision. Change: takeover reads and writes TakeoverRow; the keeper no longer keeps the revision itself.

--- a/crates/transport/src/runtime/share_hub.rs
+++ b/crates/transport/src/runtime/share_hub.rs
@@ -8,7 +8,7 @@
 use coordination::membership::MembershipState;
 use coordination::shares::{
     GrantAnswer, GrantNote, GrantedLoan, LoanId, LoanRequest, MemberLayout, ServingHost,
-    ShareAction, ShareTable, DOCUMENT_SETTLE,
+    ShareAction, ShareTable, TakeoverRow, DOCUMENT_SETTLE,
 };
 use protocol::peer::{BorrowReply, BorrowRequest, GrantReply, GrantRequest, IdleShare};
 use state::document::{GroupMember, IntentDocument};
@@ -201,9 +201,9 @@
     }
 
     /// Notes the own takeover row.
-    pub(super) fn note_own_row(&self, taken: bool, sent_at: Instant) {
+    pub(super) fn note_own_row(&self, row: TakeoverRow, sent_at: Instant) {
         if let Some(state) = self.lock().as_mut() {
-            state.table.note_own_row(taken, sent_at);
+            state.table.note_own_row(row, sent_at);
         }
     }
 
--- a/crates/transport/src/runtime/share_keeper.rs
+++ b/crates/transport/src/runtime/share_keeper.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use coordination::shares::{GrantedLoan, LoanId, ShareAction};
+use coordination::shares::{GrantedLoan, LoanId, ShareAction, TakeoverRow};
 use protocol::peer::BorrowRequest;
 use tokio::task::JoinSet;
 
 use super::callers::CallerSide;
 use super::share_hub::ShareHub;
-use super::takeover::{self, OwnRow};
+use super::takeover;
 use crate::document_follower::FollowerHandle;
 use crate::membership_hub::MembershipHub;
 use crate::peer::{ClientCache, OwnDigest, PeerClient, PeerFactory};
@@ -45,7 +45,6 @@
         calls: JoinSet::new(),
         loans: 0,
         borrowing: false,
-        own_revision: 0,
     };
     let mut documents = keeper.seams.follower.documents.clone();
     loop {
@@ -54,10 +53,8 @@
             () = tokio::time::sleep(KEEPER_INTERVAL) => {}
             changed = documents.changed() => if changed.is_err() { return },
             Some(ended) = keeper.calls.join_next(), if !keeper.calls.is_empty() => {
-                match ended {
-                    Ok(CallEnd::Borrowed) => keeper.borrowing = false,
-                    Ok(CallEnd::RowRead(revision)) => keeper.own_revision = revision,
-                    Ok(CallEnd::Other) | Err(_) => {}
+                if matches!(ended, Ok(CallEnd::Borrowed)) {
+                    keeper.borrowing = false;
                 }
             }
         }
@@ -67,8 +64,6 @@
 /// Which kind of call has ended.
 enum CallEnd {
     Borrowed,
-    /// The own takeover row was read at this revision.
-    RowRead(u64),
     Other,
 }
 
@@ -79,8 +74,6 @@
     /// Number of the last loan.
     loans: u64,
     borrowing: bool,
-    /// Revision of the own takeover row when it was last read.
-    own_revision: u64,
 }
 
 impl<T: TableService, P: PeerFactory> ShareKeeper<T, P> {
@@ -118,18 +111,14 @@
             ShareAction::AskGrant { host } => self.ask_grant(host, now),
             ShareAction::ReadOwnRow => {
                 self.calls.spawn(async move {
-                    note_row(&shares, takeover::read(&table, &own).await, now)
+                    note_row(&shares, takeover::read(&table, &own).await, now);
+                    CallEnd::Other
                 });
             }
-            ShareAction::ClearOwnRow => {
-                let revision = self.own_revision;
+            ShareAction::WriteOwnRow { row } => {
                 self.calls.spawn(async move {
-                    let mut row = takeover::clear(&table, &own, revision).await;
-                    if row.is_err() {
-                        // The write may have taken effect.
-                        row = takeover::read(&table, &own).await;
-                    }
-                    note_row(&shares, row, now)
+                    note_row(&shares, takeover::write(&table, &own, row).await, now);
+                    CallEnd::Other
                 });
             }
             ShareAction::WriteTakeover { host, attempt } => {
@@ -213,16 +202,11 @@
     }
 }
 
-/// Notes the own takeover row as it was at some time after `sent_at`.
-fn note_row(shares: &ShareHub, row: Result<OwnRow>, sent_at: Instant) -> CallEnd {
+/// Notes the own takeover row as it was at some time after `sent_at`. After a
+/// lost answer it is read again when that is due.
+fn note_row(shares: &ShareHub, row: Result<TakeoverRow>, sent_at: Instant) {
     match row {
-        Ok(row) => {
-            shares.note_own_row(row.taken, sent_at);
-            CallEnd::RowRead(row.revision)
-        }
-        Err(error) => {
-            log::debug!("own takeover row: {error}");
-            CallEnd::Other
-        }
+        Ok(row) => shares.note_own_row(row, sent_at),
+        Err(error) => log::debug!("own takeover row: {error}"),
     }
 }
--- a/crates/transport/src/runtime/takeover.rs
+++ b/crates/transport/src/runtime/takeover.rs
@@ -1,81 +1,73 @@
 //! The takeover rows in the table service.
 
-use coordination::shares::takeover_key;
+use coordination::shares::{takeover_key, TakeoverRow};
 use serde::{Deserialize, Serialize};
 
 use crate::seam::{Result, TableRow, TableService, WriteAnswer};
 
+/// Taker of a row that cannot be understood. No host has this name, so the row
+/// counts as taken, which is the safe side.
+const UNKNOWN_TAKER: &str = "?";
+
 /// Value of a takeover row.
 #[derive(Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 struct TakeoverValue {
-    /// Host that has taken the share over; empty after the row was cleared.
-    holder: String,
-}
-
-/// The own takeover row as it was read.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct OwnRow {
-    /// Revision.
-    pub(super) revision: u64,
-    /// Whether the share is taken over.
-    pub(super) taken: bool,
+    /// Hosts that use, or may use, connections of the row's host.
+    takers: Vec<String>,
 }
 
 /// Reads the row of `host`.
-pub(super) async fn read<T: TableService>(table: &T, host: &str) -> Result<OwnRow> {
-    let row = table.read(&takeover_key(host)).await?;
-    Ok(own_row(&row))
+pub(super) async fn read<T: TableService>(table: &T, host: &str) -> Result<TakeoverRow> {
+    Ok(parse(&table.read(&takeover_key(host)).await?))
 }
 
-/// Clears the row of `host` if it still has the revision; returns the row as it
-/// is then. The revision must be the one that the host knew when it decided to
-/// clear: a host that is paused in between must not clear a later takeover.
-pub(super) async fn clear<T: TableService>(table: &T, host: &str, revision: u64) -> Result<OwnRow> {
-    match write(table, host, revision, "").await? {
-        WriteAnswer::Written { revision } => Ok(OwnRow {
-            revision,
-            taken: false,
-        }),
-        WriteAnswer::Conflict { row } => Ok(own_row(&row)),
+/// Writes the takers of a row if it still has the row's revision; returns the
+/// row as it is then, which after a conflict is another one.
+pub(super) async fn write<T: TableService>(
+    table: &T,
+    host: &str,
+    row: TakeoverRow,
+) -> Result<TakeoverRow> {
+    match write_row(table, host, &row).await? {
+        WriteAnswer::Written { revision } => Ok(TakeoverRow { revision, ..row }),
+        WriteAnswer::Conflict { row } => Ok(parse(&row)),
     }
 }
 
-/// Writes `holder` into the row of `host`, also when another one stands there,
-/// so that the revision rises and a late clearing conflicts. Returns whether
-/// the write took effect.
-pub(super) async fn take<T: TableService>(table: &T, host: &str, holder: &str) -> Result<bool> {
-    let row = table.read(&takeover_key(host)).await?;
-    let answer = write(table, host, row.revision, holder).await?;
+/// Adds `taker` to the row of `host`, also when it stands there already, so
+/// that the revision rises. Returns whether the write took effect.
+pub(super) async fn take<T: TableService>(table: &T, host: &str, taker: &str) -> Result<bool> {
+    let mut row = read(table, host).await?;
+    if !row.takers.iter().any(|known| known == taker) {
+        row.takers.push(taker.to_owned());
+    }
+    let answer = write_row(table, host, &row).await?;
     Ok(matches!(answer, WriteAnswer::Written { .. }))
 }
 
-async fn write<T: TableService>(
+async fn write_row<T: TableService>(
     table: &T,
     host: &str,
-    expected_revision: u64,
-    holder: &str,
+    row: &TakeoverRow,
 ) -> Result<WriteAnswer> {
     let value = TakeoverValue {
-        holder: holder.to_owned(),
+        takers: row.takers.clone(),
     };
     let text = serde_json::to_string(&value).expect("a row of plain fields renders as JSON");
-    let key = takeover_key(host);
-    table.write_if(&key, expected_revision, &text).await
+    table
+        .write_if(&takeover_key(host), row.revision, &text)
+        .await
 }
 
-fn own_row(row: &TableRow) -> OwnRow {
-    OwnRow {
+fn parse(row: &TableRow) -> TakeoverRow {
+    let value: Option<TakeoverValue> = match row.revision {
+        0 => Some(TakeoverValue::default()),
+        _ => serde_json::from_str(&row.value).ok(),
+    };
+    let unknown = || vec![UNKNOWN_TAKER.to_owned()];
+    TakeoverRow {
         revision: row.revision,
-        taken: has_holder(row),
-    }
-}
-
-/// A row that cannot be understood counts as taken: it is the safe side.
-fn has_holder(row: &TableRow) -> bool {
-    if row.revision == 0 {
-        return false;
+        takers: value.map_or_else(unknown, |value| value.takers),
     }
-    let value: Option<TakeoverValue> = serde_json::from_str(&row.value).ok();
-    value.is_none_or(|value| !value.holder.is_empty())
 }
