--- a/crates/transport/src/runtime/share_keeper.rs
+++ b/crates/transport/src/runtime/share_keeper.rs
@@ -53,9 +53,8 @@
             () = tokio::time::sleep(KEEPER_INTERVAL) => {}
             changed = documents.changed() => if changed.is_err() { return },
             Some(ended) = keeper.calls.join_next(), if !keeper.calls.is_empty() => {
-                match ended {
-                    Ok(CallEnd::Borrowed) => keeper.borrowing = false,
-                    Ok(CallEnd::Other) | Err(_) => {}
+                if matches!(ended, Ok(CallEnd::Borrowed)) {
+                    keeper.borrowing = false;
                 }
             }
         }
@@ -112,17 +111,14 @@
             ShareAction::AskGrant { host } => self.ask_grant(host, now),
             ShareAction::ReadOwnRow => {
                 self.calls.spawn(async move {
-                    note_row(&shares, takeover::read(&table, &own).await, now)
+                    note_row(&shares, takeover::read(&table, &own).await, now);
+                    CallEnd::Other
                 });
             }
             ShareAction::WriteOwnRow { row } => {
                 self.calls.spawn(async move {
-                    let mut written = takeover::write(&table, &own, row).await;
-                    if written.is_err() {
-                        // The write may have taken effect.
-                        written = takeover::read(&table, &own).await;
-                    }
-                    note_row(&shares, written, now)
+                    note_row(&shares, takeover::write(&table, &own, row).await, now);
+                    CallEnd::Other
                 });
             }
             ShareAction::WriteTakeover { host, attempt } => {
@@ -206,11 +202,11 @@
     }
 }
 
-/// Notes the own takeover row as it was at some time after `sent_at`.
-fn note_row(shares: &ShareHub, row: Result<TakeoverRow>, sent_at: Instant) -> CallEnd {
+/// Notes the own takeover row as it was at some time after `sent_at`. After a
+/// lost answer it is read again when that is due.
+fn note_row(shares: &ShareHub, row: Result<TakeoverRow>, sent_at: Instant) {
     match row {
         Ok(row) => shares.note_own_row(row, sent_at),
-        Err(error) => log::debug!("takeover row of this host: {error}"),
+        Err(error) => log::debug!("own takeover row: {error}"),
     }
-    CallEnd::Other
 }
--- a/crates/transport/src/runtime/takeover.rs
+++ b/crates/transport/src/runtime/takeover.rs
@@ -3,7 +3,11 @@
 use coordination::shares::{takeover_key, TakeoverRow};
 use serde::{Deserialize, Serialize};
 
-use crate::seam::{Result, SeamError, TableRow, TableService, WriteAnswer};
+use crate::seam::{Result, TableRow, TableService, WriteAnswer};
+
+/// Taker of a row that cannot be understood. No host has this name, so the row
+/// counts as taken, which is the safe side.
+const UNKNOWN_TAKER: &str = "?";
 
 /// Value of a takeover row.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -13,64 +17,57 @@
     takers: Vec<String>,
 }
 
-/// Reads the row of `host`. A row that cannot be understood is an error, so
-/// that nobody takes it as evidence of a free share.
+/// Reads the row of `host`.
 pub(super) async fn read<T: TableService>(table: &T, host: &str) -> Result<TakeoverRow> {
-    parse(&table.read(&takeover_key(host)).await?)
+    Ok(parse(&table.read(&takeover_key(host)).await?))
 }
 
-/// Writes the row of `host` if it still has its revision; returns the row as
-/// it is then. The revision must be the one that the host knew when it decided
-/// to write: a host that is paused in between must not undo a later takeover.
+/// Writes the takers of a row if it still has the row's revision; returns the
+/// row as it is then, which after a conflict is another one.
 pub(super) async fn write<T: TableService>(
     table: &T,
     host: &str,
     row: TakeoverRow,
 ) -> Result<TakeoverRow> {
-    let answer = write_if(table, host, row.revision, &row.takers).await?;
-    match answer {
-        WriteAnswer::Written { revision } => Ok(TakeoverRow {
-            revision,
-            takers: row.takers,
-        }),
-        WriteAnswer::Conflict { row } => parse(&row),
+    match write_row(table, host, &row).await? {
+        WriteAnswer::Written { revision } => Ok(TakeoverRow { revision, ..row }),
+        WriteAnswer::Conflict { row } => Ok(parse(&row)),
     }
 }
 
-/// Adds `taker` to the row of `host` and writes it, also when it is among the
-/// takers already, so that the revision rises and a late write of the host
-/// conflicts. Returns whether the write took effect.
+/// Adds `taker` to the row of `host`, also when it stands there already, so
+/// that the revision rises. Returns whether the write took effect.
 pub(super) async fn take<T: TableService>(table: &T, host: &str, taker: &str) -> Result<bool> {
     let mut row = read(table, host).await?;
     if !row.takers.iter().any(|known| known == taker) {
         row.takers.push(taker.to_owned());
     }
-    let answer = write_if(table, host, row.revision, &row.takers).await?;
+    let answer = write_row(table, host, &row).await?;
     Ok(matches!(answer, WriteAnswer::Written { .. }))
 }
 
-async fn write_if<T: TableService>(
+async fn write_row<T: TableService>(
     table: &T,
     host: &str,
-    expected_revision: u64,
-    takers: &[String],
+    row: &TakeoverRow,
 ) -> Result<WriteAnswer> {
     let value = TakeoverValue {
-        takers: takers.to_vec(),
+        takers: row.takers.clone(),
     };
     let text = serde_json::to_string(&value).expect("a row of plain fields renders as JSON");
-    let key = takeover_key(host);
-    table.write_if(&key, expected_revision, &text).await
+    table
+        .write_if(&takeover_key(host), row.revision, &text)
+        .await
 }
 
-fn parse(row: &TableRow) -> Result<TakeoverRow> {
-    if row.revision == 0 {
-        return Ok(TakeoverRow::default());
-    }
-    let value: TakeoverValue = serde_json::from_str(&row.value)
-        .map_err(|error| SeamError::BadAnswer(format!("takeover row: {error}")))?;
-    Ok(TakeoverRow {
+fn parse(row: &TableRow) -> TakeoverRow {
+    let value: Option<TakeoverValue> = match row.revision {
+        0 => Some(TakeoverValue::default()),
+        _ => serde_json::from_str(&row.value).ok(),
+    };
+    let unknown = || vec![UNKNOWN_TAKER.to_owned()];
+    TakeoverRow {
         revision: row.revision,
-        takers: value.takers,
-    })
+        takers: value.map_or_else(unknown, |value| value.takers),
+    }
 }
