Measure whole sites with the load tool

The users' two measures, the share of reads by replicas and the failover gap, had no tool that produces them. The old example sent statements to one address and checked nothing.

The example now runs a scenario on a whole site with the latencies, slots and connections of its user. Callers roam between the entry hosts and resolve unknown outcomes; a checker compares what they were told with what the groups store. Baselines run in the same invocation: all reads to the primary, and direct connections that trust the primary's OK.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 pub mod cluster;
+pub mod load;
 pub mod platform;
 pub mod relay;
 pub mod site;
--- /dev/null
+++ b/crates/standin/src/load/caller.rs
@@ -0,0 +1,443 @@
+//! A caller: reads and writes over a connection that roams between the entry
+//! hosts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use protocol::result_code::{ResultCode, RunOutcome};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until};
+use tokio_postgres::Client;
+
+use super::call::{self, CallFailure};
+use super::checker::{WriteOutcome, WriteRecord};
+use super::profile::SiteProfile;
+
+/// Longest latency that the histograms hold.
+const LATENCY_MAX_US: u64 = 60_000_000;
+/// Time in which a caller tries to learn an unknown outcome.
+const RESOLVE_LIMIT: Duration = Duration::from_secs(15);
+/// Pause before a failed connection is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(10);
+/// Share of the moves to another entry host that bring the session token.
+const TOKEN_PERCENT: u32 = 80;
+/// SQLSTATE of a write at a replica.
+const READ_ONLY: &str = "25006";
+/// Name of the latencies of writes.
+pub const WRITE_CLASS: &str = "write";
+
+/// How callers reach the data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccessMode {
+    /// Through the proxy, with read classes.
+    Proxy,
+    /// Baseline: through the proxy, each read as `SELECT ... FOR UPDATE`, which
+    /// the proxy sends to the primary.
+    PrimaryReads,
+    /// Baseline: a connection to the primary, whose OK is trusted.
+    DirectPrimary,
+}
+
+impl AccessMode {
+    /// Returns the name for reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Proxy => "proxy",
+            Self::PrimaryReads => "baseline: all reads to the primary",
+            Self::DirectPrimary => "baseline: direct to the primary",
+        }
+    }
+}
+
+/// When a caller sends its statements.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CallPace {
+    /// A pause with this mean after each answer.
+    Think(Duration),
+    /// Arrivals with this mean interval, whether or not answers came.
+    Arrivals(Duration),
+}
+
+/// The addresses that callers use.
+#[derive(Debug)]
+pub struct CallTargets {
+    /// Entry hosts.
+    pub entry_hosts: Vec<SocketAddr>,
+    /// Current primary of each group, for direct connections.
+    pub primaries: Mutex<Vec<SocketAddr>>,
+    /// Turns true when callers end.
+    pub stopped: watch::Sender<bool>,
+}
+
+/// What a caller does.
+#[derive(Clone, Debug)]
+pub struct CallerPlan {
+    /// Number of the caller.
+    pub writer: i64,
+    /// Index of its group.
+    pub group: usize,
+    /// Name of its group.
+    pub database: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Site.
+    pub profile: SiteProfile,
+    /// How it reaches the data.
+    pub mode: AccessMode,
+    /// When it sends.
+    pub pace: CallPace,
+    /// Share of writes.
+    pub write_percent: u32,
+    /// Mean number of statements between moves to another entry host.
+    pub roam_every: u32,
+    /// Deadline of each statement, if not the document's.
+    pub deadline: Option<Duration>,
+}
+
+/// What a caller saw.
+#[derive(Debug)]
+pub struct CallerLog {
+    /// Index of its group.
+    pub group: usize,
+    /// Its writes.
+    pub writes: Vec<WriteRecord>,
+    /// Instants at which writes were acknowledged.
+    pub acknowledged: Vec<Instant>,
+    /// Latencies in microseconds by class.
+    pub latencies: BTreeMap<&'static str, Histogram<u64>>,
+    /// Failures by kind.
+    pub failures: BTreeMap<String, u64>,
+    /// Answered reads.
+    pub reads: u64,
+    /// Instants of the answers within the deadline.
+    pub good: Vec<Instant>,
+    /// Reads that missed an own accepted write.
+    pub stale: u64,
+}
+
+/// A running caller.
+pub struct RoamingCaller {
+    plan: CallerPlan,
+    targets: Arc<CallTargets>,
+    random: StdRng,
+    client: Option<Client>,
+    entry_host: usize,
+    token: Option<String>,
+    highest_accepted: i64,
+    next_sequence: i64,
+    next_arrival: Instant,
+    log: CallerLog,
+}
+
+impl RoamingCaller {
+    /// Builds a caller that has not connected yet.
+    pub fn new(plan: CallerPlan, targets: Arc<CallTargets>) -> Self {
+        let seed = plan.seed.wrapping_mul(1_000_003) + plan.writer as u64;
+        let mut random = StdRng::seed_from_u64(seed);
+        let entry_host = random.random_range(0..targets.entry_hosts.len());
+        let log = CallerLog {
+            group: plan.group,
+            writes: Vec::new(),
+            acknowledged: Vec::new(),
+            latencies: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            reads: 0,
+            good: Vec::new(),
+            stale: 0,
+        };
+        Self {
+            plan,
+            targets,
+            random,
+            client: None,
+            entry_host,
+            token: None,
+            highest_accepted: 0,
+            next_sequence: 1,
+            next_arrival: Instant::now(),
+            log,
+        }
+    }
+
+    /// Connects and then runs until the targets are marked as stopped.
+    pub async fn run(mut self) -> CallerLog {
+        while !self.has_ended() {
+            self.pause().await;
+            if self.has_ended() {
+                break;
+            }
+            if self.random.random_range(0..self.plan.roam_every) == 0 {
+                self.roam().await;
+            }
+            if !self.connected().await {
+                sleep(RECONNECT_PAUSE).await;
+                continue;
+            }
+            if self.random.random_range(0..100) < self.plan.write_percent {
+                self.write().await;
+            } else {
+                self.read().await;
+            }
+        }
+        self.log
+    }
+
+    fn has_ended(&self) -> bool {
+        *self.targets.stopped.borrow()
+    }
+
+    async fn pause(&mut self) {
+        let draw: f64 = self.random.random_range(f64::EPSILON..1.0);
+        let until = match self.plan.pace {
+            CallPace::Think(mean) => Instant::now() + mean.mul_f64(-draw.ln()),
+            CallPace::Arrivals(mean) => self.next_arrival + mean.mul_f64(-draw.ln()),
+        };
+        self.next_arrival = until;
+        let mut stopped = self.targets.stopped.subscribe();
+        tokio::select! {
+            () = sleep_until(until.into()) => {}
+            _ = stopped.wait_for(|stopped| *stopped) => {}
+        }
+    }
+
+    /// Moves to a random entry host, mostly with the session token.
+    async fn roam(&mut self) {
+        if self.plan.mode == AccessMode::DirectPrimary {
+            return;
+        }
+        let brings_token = self.random.random_range(0..100) < TOKEN_PERCENT;
+        self.token = None;
+        if let (Some(client), true) = (&self.client, brings_token) {
+            let shown = call::query(client, "SHOW cassia.session_token").await;
+            self.token = shown.ok().flatten().filter(|token| !token.is_empty());
+        }
+        self.leave();
+    }
+
+    fn leave(&mut self) {
+        self.client = None;
+        self.entry_host = self.random.random_range(0..self.targets.entry_hosts.len());
+    }
+
+    async fn connected(&mut self) -> bool {
+        if self.client.as_ref().is_some_and(|one| !one.is_closed()) {
+            return true;
+        }
+        let address = self.address();
+        let mut options = Vec::new();
+        if self.plan.mode != AccessMode::DirectPrimary {
+            let token = self.token.take();
+            options.extend(token.map(|token| format!("cassia.session_token={token}")));
+            let deadline = self.plan.deadline;
+            options
+                .extend(deadline.map(|limit| format!("cassia.deadline_ms={}", limit.as_millis())));
+        }
+        match call::connect(address, &self.plan.database, &options).await {
+            Ok(client) => {
+                self.client = Some(client);
+                true
+            }
+            Err(failure) => {
+                self.count(&format!("connect: {}", failure.label()));
+                self.leave();
+                false
+            }
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        if self.plan.mode != AccessMode::DirectPrimary {
+            return self.targets.entry_hosts[self.entry_host];
+        }
+        let primaries = self.targets.primaries.lock();
+        primaries.unwrap_or_else(PoisonError::into_inner)[self.plan.group]
+    }
+
+    async fn read(&mut self) {
+        let class = self.draw_class();
+        let writer = self.plan.writer;
+        let select = format!(
+            "SELECT seq FROM load_writes WHERE writer = {writer} ORDER BY seq DESC LIMIT 1"
+        );
+        let sql = match self.plan.mode {
+            AccessMode::Proxy => format!("/* cassia: class={class} */ {select}"),
+            AccessMode::PrimaryReads => format!("{select} FOR UPDATE"),
+            AccessMode::DirectPrimary => select,
+        };
+        let start = Instant::now();
+        match self.query(&sql).await {
+            Ok(found) => {
+                let newest = found.and_then(|text| text.parse().ok()).unwrap_or(0);
+                self.log.stale += u64::from(newest < self.highest_accepted);
+                self.log.reads += 1;
+                self.note_latency(class, start);
+            }
+            Err(failure) => self.note_failure(&failure),
+        }
+    }
+
+    fn draw_class(&mut self) -> &'static str {
+        let mut draw = self.random.random_range(0..100);
+        let classes = self.plan.profile.reads();
+        for class in classes {
+            if draw < class.percent {
+                return class.name;
+            }
+            draw -= class.percent;
+        }
+        classes[0].name
+    }
+
+    async fn write(&mut self) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let sql = self.insert_sql(sequence);
+        let start = Instant::now();
+        let outcome = match self.query(&sql).await {
+            Ok(_) => WriteOutcome::Accepted,
+            Err(failure) => {
+                self.note_failure(&failure);
+                self.outcome_of(&failure, sequence).await
+            }
+        };
+        if outcome == WriteOutcome::Accepted {
+            self.highest_accepted = sequence;
+            self.log.acknowledged.push(Instant::now());
+            self.note_latency(WRITE_CLASS, start);
+        }
+        self.log.writes.push(WriteRecord {
+            writer: self.plan.writer,
+            sequence,
+            outcome,
+        });
+    }
+
+    fn insert_sql(&self, sequence: i64) -> String {
+        let writer = self.plan.writer;
+        let insert = format!("INSERT INTO load_writes VALUES ({writer}, {sequence})");
+        if self.plan.mode == AccessMode::DirectPrimary {
+            return insert;
+        }
+        let id = self.request_id(sequence);
+        format!("/* cassia: request_id={id} */ {insert}")
+    }
+
+    fn request_id(&self, sequence: i64) -> String {
+        format!("load-{}-{sequence}", self.plan.writer)
+    }
+
+    async fn outcome_of(&mut self, failure: &CallFailure, sequence: i64) -> WriteOutcome {
+        if self.plan.mode == AccessMode::DirectPrimary {
+            return match failure {
+                CallFailure::Server(state) if state == READ_ONLY => WriteOutcome::NotRun,
+                _ => WriteOutcome::Unknown,
+            };
+        }
+        match failure {
+            CallFailure::Refused(code) if code.outcome() == RunOutcome::NotRun => {
+                WriteOutcome::NotRun
+            }
+            _ => self.resolve(sequence).await,
+        }
+    }
+
+    /// Asks for the outcome at another entry host, or repeats the write with
+    /// the same id.
+    async fn resolve(&mut self, sequence: i64) -> WriteOutcome {
+        let limit = Instant::now() + RESOLVE_LIMIT;
+        while Instant::now() < limit {
+            self.leave();
+            if self.connected().await {
+                let asks = self.random.random_range(0..2) == 0;
+                let known = match asks {
+                    true => self.ask(sequence).await,
+                    false => self.repeat(sequence).await,
+                };
+                if let Some(outcome) = known {
+                    return outcome;
+                }
+            }
+            sleep(RECONNECT_PAUSE).await;
+        }
+        self.count("unresolved");
+        WriteOutcome::Unknown
+    }
+
+    async fn ask(&mut self, sequence: i64) -> Option<WriteOutcome> {
+        let id = self.request_id(sequence);
+        let set = format!("SET cassia.request_id = '{id}'");
+        self.query(&set).await.ok()?;
+        let shown = self.query("SHOW cassia.outcome").await;
+        // The id stays set in the session, so the next write needs another.
+        self.client = None;
+        match shown {
+            Ok(Some(text)) if text.starts_with("committed") => Some(WriteOutcome::Accepted),
+            Ok(Some(text)) if text == "not_run" => Some(WriteOutcome::NotRun),
+            Ok(_) => None,
+            Err(failure) => {
+                self.count(&format!("outcome: {}", failure.label()));
+                None
+            }
+        }
+    }
+
+    /// A refusal of the repetition says nothing about the first attempt, except
+    /// when the id is blocked.
+    async fn repeat(&mut self, sequence: i64) -> Option<WriteOutcome> {
+        let sql = self.insert_sql(sequence);
+        match self.query(&sql).await {
+            Ok(_) => Some(WriteOutcome::Accepted),
+            Err(CallFailure::Refused(ResultCode::RequestBlocked)) => Some(WriteOutcome::NotRun),
+            Err(failure) => {
+                self.count(&format!("repeat: {}", failure.label()));
+                None
+            }
+        }
+    }
+
+    async fn query(&mut self, sql: &str) -> call::Result<Option<String>> {
+        let Some(client) = &self.client else {
+            return Err(CallFailure::Lost);
+        };
+        let answer = call::query(client, sql).await;
+        if answer
+            .as_ref()
+            .is_err_and(|error| !error.keeps_connection())
+        {
+            self.client = None;
+        }
+        answer
+    }
+
+    fn note_failure(&mut self, failure: &CallFailure) {
+        self.count(&failure.label());
+        let misplaced = matches!(failure, CallFailure::Server(_));
+        if misplaced && self.plan.mode == AccessMode::DirectPrimary {
+            self.client = None;
+        }
+    }
+
+    fn count(&mut self, label: &str) {
+        *self.log.failures.entry(label.to_owned()).or_default() += 1;
+    }
+
+    fn note_latency(&mut self, class: &'static str, start: Instant) {
+        let latency = start.elapsed();
+        let in_time = self.plan.deadline.is_none_or(|limit| latency <= limit);
+        if in_time {
+            self.log.good.push(start + latency);
+        }
+        let histogram = self.log.latencies.entry(class).or_insert_with(histogram);
+        histogram.saturating_record(latency.as_micros() as u64);
+    }
+}
+
+/// Builds an empty histogram of microseconds.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("the bounds are valid")
+}
