transport: answer a repeated transaction from its recorded outcome

Cause: a transaction whose request id conflicted was refused with 1011, which says not run, although the request may have committed before. A lone BEGIN on a lost connection was reported as unknown. Change: the recorded outcome is looked up and confirmed: 3001 when it committed, 1011 when it was blocked, 2001 when it cannot be read. BEGIN may be repeated. Conclusion: the code 1011 is given only for a request that never runs.

--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -53,6 +53,9 @@
 const CONNECTION_FAILURE: &str = "08006";
 /// SQLSTATE of a protocol violation.
 const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE of a transaction whose request id ran before. The result code has
+/// no error SQLSTATE, and a unique violation is what the database reported.
+const RECORDED_TWICE: &str = "23505";
 /// SQLSTATE of a prepared statement whose name is in use.
 const DUPLICATE_STATEMENT: &str = "42P05";
 /// Query that no server can run, to fail a transaction.
@@ -467,8 +470,8 @@
 
     fn status(&self) -> u8 {
         match &self.pin {
+            _ if self.lost.is_some() => STATUS_FAILED,
             Some(pin) => pin.connection.status(),
-            None if self.lost.is_some() => STATUS_FAILED,
             None => STATUS_IDLE,
         }
     }
@@ -497,6 +500,14 @@
                 let message = "canceling statement due to user request";
                 frame::put_error(out, ErrorSeverity::Error, CANCELLED, message, "");
             }
+            StepError::AlreadyRan(reason) => {
+                let code = ResultCode::AlreadyRan;
+                self.context.metrics.count_refusal(code);
+                let message = format!("{}: {reason}", code.message());
+                let detail = format!("cassia_code={}", code.number());
+                let severity = ErrorSeverity::Error;
+                frame::put_error(out, severity, RECORDED_TWICE, &message, &detail);
+            }
             StepError::DuplicateName(name) => {
                 let message = format!("prepared statement {name:?} already exists");
                 frame::put_error(out, ErrorSeverity::Error, DUPLICATE_STATEMENT, &message, "");
--- a/crates/transport/src/session/refusal.rs
+++ b/crates/transport/src/session/refusal.rs
@@ -52,6 +52,8 @@
     Refused(Refusal),
     /// The caller asked to cancel before anything was sent.
     Cancelled,
+    /// The request id of the transaction ran before.
+    AlreadyRan(String),
     /// The caller prepared a statement under a name that is in use.
     DuplicateName(Box<str>),
     /// The caller's connection failed; the session ends.
--- a/crates/transport/src/session/write.rs
+++ b/crates/transport/src/session/write.rs
@@ -2,16 +2,17 @@
 
 use std::time::Instant;
 
-use coordination::request_record::{insert_sql, record_tag_sql};
+use coordination::request_record::{insert_sql, record_tag_sql, LookUpReply};
 use coordination::retry::{ErrorClass, RetryKind, SendProgress};
 use protocol::result_code::ResultCode;
 use state::log::Term;
-use state::request::RequestId;
+use state::request::{RequestId, RequestOutcome};
 
 use super::attempt::AttemptCounter;
 use super::pin::PinnedConnection;
 use super::policy::ReadPolicy;
 use super::primary::{PrimaryEnd, PrimaryPlace, PrimaryWork};
+use super::recorded::look_up;
 use super::refusal::{refuse, Result, StepError};
 use super::route::{self, AcquireFailure, AcquiredConnection};
 use super::work::{Work, WorkSummary};
@@ -40,7 +41,12 @@
             }
             return self.run_recorded(work, &id, policy, deadline).await;
         }
-        let mut attempts = AttemptCounter::new(&self.context, RetryKind::Write, false, deadline);
+        // A lone BEGIN commits nothing, so it may be repeated like a read.
+        let kind = match summary.writes || summary.opaque {
+            true => RetryKind::Write,
+            false => RetryKind::Read,
+        };
+        let mut attempts = AttemptCounter::new(&self.context, kind, false, deadline);
         loop {
             let acquired = self.acquire_write(summary.begins, policy, deadline).await?;
             let Some(mut acquired) = acquired else {
@@ -186,8 +192,9 @@
         match end {
             PrimaryEnd::Answered(report) => {
                 if let (Some(id), Some((_, error))) = (&id, report.prefix_error) {
-                    self.pin = Some(pin);
-                    return self.refuse_recorded(id, &error);
+                    return self
+                        .refuse_recorded(pin, id, &error, policy, deadline)
+                        .await;
                 }
                 if id.is_some() {
                     pin.recorded = id;
@@ -225,16 +232,55 @@
         Ok(Some(id))
     }
 
-    /// Answers the first write of a transaction whose request id conflicts.
-    fn refuse_recorded(&mut self, id: &RequestId, error: &[u8; 5]) -> Result<()> {
-        if error == UNIQUE_VIOLATION {
-            self.variables.spend(id);
-            let reason = format!("request id {id} is recorded; SHOW cassia.outcome tells how");
-            return refuse(ResultCode::RequestBlocked, reason);
+    /// Answers the first write of a transaction whose request id could not be
+    /// inserted. The transaction ends; a conflict is answered from the recorded
+    /// outcome, because the request may have run before.
+    async fn refuse_recorded(
+        &mut self,
+        mut pin: PinnedConnection,
+        id: &RequestId,
+        error: &[u8; 5],
+        policy: &ReadPolicy,
+        deadline: Instant,
+    ) -> Result<()> {
+        self.lost = Some(LostTransaction::Reported);
+        if error != UNIQUE_VIOLATION {
+            let sqlstate = String::from_utf8_lossy(error);
+            let reason = format!("request id {id} could not be recorded ({sqlstate})");
+            return refuse(ResultCode::TransactionLost, reason);
+        }
+        self.variables.spend(id);
+        let place = PrimaryPlace {
+            member: pin.member,
+            term: pin.term,
+            in_transaction: false,
+            wrote: false,
+        };
+        let unknown = || {
+            refuse(
+                ResultCode::OutcomeUnknown,
+                "the recorded outcome was not found",
+            )
+        };
+        let found = look_up(&mut pin.connection, id, deadline).await;
+        let keeps_session = pin.keeps_session;
+        if keeps_session && pin.connection.is_settled() {
+            self.pin = Some(pin);
+        }
+        let Some((LookUpReply::Found(outcome), position)) = found else {
+            return unknown();
+        };
+        if !self.confirm(position, place, policy, deadline).await {
+            return unknown();
+        }
+        match outcome {
+            RequestOutcome::Blocked => {
+                refuse(ResultCode::RequestBlocked, format!("request id {id}"))
+            }
+            RequestOutcome::Committed { tag } => {
+                Err(StepError::AlreadyRan(format!("request id {id}, {tag}")))
+            }
         }
-        let sqlstate = String::from_utf8_lossy(error);
-        let reason = format!("the request id could not be recorded ({sqlstate})");
-        refuse(ResultCode::BadVariable, reason)
     }
 
     fn settle_pin(&mut self, mut pin: PinnedConnection, work: &Work<'_>, summary: &WorkSummary) {
--- a/crates/transport/tests/sessions.rs
+++ b/crates/transport/tests/sessions.rs
@@ -322,7 +322,7 @@
         .execute("INSERT INTO t VALUES (3)", &[])
         .await
         .unwrap_err();
-    expect_that!(error_of(&error).1, starts_with("cassia_code="));
+    expect_that!(error_of(&error).1, eq("cassia_code=3001"));
     transaction.rollback().await.unwrap();
     let count = rows(&client, "SELECT count(*) FROM t").await.unwrap();
     expect_that!(count, elements_are![eq("3")]);
