Purge old request ids, and record ids in transactions of new groups

Cause: nothing deleted request ids after their retention; the first request id of a group inside a transaction was refused (42P01), as the process test of the outcome query showed; nothing updated the metric of queued statements.

--- a/crates/transport/src/runtime/share_keeper.rs
+++ b/crates/transport/src/runtime/share_keeper.rs
@@ -94,6 +94,7 @@
                 }
             }
         }
+        context.observe_queues();
         for action in self.seams.shares.due(now) {
             self.perform(action, now);
         }
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod policy;
 mod primary;
+pub(crate) mod purge;
 mod read;
 mod recorded;
 pub(crate) mod refusal;
--- /dev/null
+++ b/crates/transport/src/session/purge.rs
@@ -0,0 +1,46 @@
+//! Deletes request ids that are older than the retention.
+
+use std::time::{Duration, Instant};
+
+use coordination::request_record::purge_sql;
+
+use super::recorded::run_queries;
+use crate::caller::context::GroupContext;
+
+/// Deletes one batch at the primary; returns the number of deleted rows.
+///
+/// Nothing is deleted when the primary is unknown or cannot be reached, or when
+/// the group has no request ids yet; the next batch tries again. The batch
+/// needs no confirmation: rows that a failover brings back are deleted later.
+pub(crate) async fn purge_batch(
+    group: &GroupContext,
+    retention: Duration,
+    deadline: Instant,
+) -> u64 {
+    let view = group.handle.view();
+    let Some(primary) = view.primary() else {
+        return 0;
+    };
+    let pool = group.pool_of(primary, &view.members[primary]);
+    if pool.spare() == 0 {
+        return 0;
+    }
+    let Ok(mut connection) = pool.check_out(deadline).await else {
+        return 0;
+    };
+    let statement = purge_sql(retention);
+    match run_queries(&mut connection, &[&statement], deadline).await {
+        Ok(report) if report.error.is_none() => deleted_rows(&report.command_tag),
+        Ok(_) => 0,
+        Err(_) => {
+            connection.close();
+            0
+        }
+    }
+}
+
+/// Reads the number of rows from a tag such as `DELETE 3`.
+fn deleted_rows(command_tag: &str) -> u64 {
+    let count = command_tag.rsplit(' ').next();
+    count.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
--- a/crates/transport/src/session/write.rs
+++ b/crates/transport/src/session/write.rs
@@ -2,13 +2,14 @@
 
 use std::time::Instant;
 
-use coordination::request_record::{insert_sql, record_tag_sql, LookUpReply};
+use coordination::request_record::{insert_sql, record_tag_sql, LookUpReply, CREATE_TABLE_SQL};
 use coordination::retry::{ErrorClass, RetryKind, SendProgress};
 use protocol::result_code::ResultCode;
 use state::log::Term;
 use state::request::{RequestId, RequestOutcome};
 
 use super::attempt::AttemptCounter;
+use super::exchange::SqlState;
 use super::pin::PinnedConnection;
 use super::policy::ReadPolicy;
 use super::primary::{PrimaryEnd, PrimaryPlace, PrimaryWork};
@@ -191,10 +192,10 @@
             .await?;
         match end {
             PrimaryEnd::Answered(report) => {
-                if let (Some(id), Some((_, error))) = (&id, report.prefix_error) {
-                    return self
-                        .refuse_recorded(pin, id, &error, policy, deadline)
-                        .await;
+                if let (Some(id), Some((index, error))) = (&id, report.prefix_error) {
+                    let conflicts = index + 1 == prefix.len() && &error == UNIQUE_VIOLATION;
+                    let error = (!conflicts).then_some(error);
+                    return self.refuse_recorded(pin, id, error, policy, deadline).await;
                 }
                 if id.is_some() {
                     pin.recorded = id;
@@ -233,19 +234,20 @@
     }
 
     /// Answers the first write of a transaction whose request id could not be
-    /// inserted. The transaction ends; a conflict is answered from the recorded
-    /// outcome, because the request may have run before.
+    /// inserted. The transaction ends. Without an error the id is in the table
+    /// already; the answer is the recorded outcome, because the request may have
+    /// run before.
     async fn refuse_recorded(
         &mut self,
         mut pin: PinnedConnection,
         id: &RequestId,
-        error: &[u8; 5],
+        error: Option<SqlState>,
         policy: &ReadPolicy,
         deadline: Instant,
     ) -> Result<()> {
         self.lost = Some(LostTransaction::Reported);
-        if error != UNIQUE_VIOLATION {
-            let sqlstate = String::from_utf8_lossy(error);
+        if let Some(error) = error {
+            let sqlstate = String::from_utf8_lossy(&error);
             let reason = format!("request id {id} could not be recorded ({sqlstate})");
             return refuse(ResultCode::TransactionLost, reason);
         }
@@ -369,7 +371,9 @@
 /// write, its tag before the commit.
 fn prefix_of(pin: &PinnedConnection, id: Option<&RequestId>, summary: &WorkSummary) -> Vec<String> {
     if let Some(id) = id {
-        return vec![insert_sql(id)];
+        // The first request id of a group may come inside a transaction, which
+        // must not fail for want of the table.
+        return vec![CREATE_TABLE_SQL.to_owned(), insert_sql(id)];
     }
     match &pin.recorded {
         Some(id) if summary.commits => vec![record_tag_sql(id, COMMIT_TAG)],
--- a/crates/transport/tests/sessions.rs
+++ b/crates/transport/tests/sessions.rs
@@ -649,3 +649,28 @@
     let found = rows(&client, "SELECT id FROM t ORDER BY id").await.unwrap();
     expect_that!(found, eq(&acknowledged));
 }
+
+/// Guards against a purge that deletes ids within the retention, or none.
+#[gtest]
+#[tokio::test]
+async fn a_purge_deletes_only_old_request_ids() {
+    let (_cluster, proxy) = start(ClusterSettings::default()).await;
+    let client = proxy.connect().await;
+    client
+        .batch_execute("CREATE TABLE birds (id int primary key, name text)")
+        .await
+        .unwrap();
+    client
+        .batch_execute("/* cassia: request_id=new-1 */ INSERT INTO birds VALUES (1, 'wren')")
+        .await
+        .unwrap();
+    let old = "INSERT INTO cassia_requests (id, state, recorded_at) \
+               VALUES ('old-1', 'blocked', '2020-01-01 00:00:00')";
+    client.batch_execute(old).await.unwrap();
+    let retention = std::time::Duration::from_secs(604_800);
+    let purge = coordination::request_record::purge_sql(retention);
+    let deleted = client.execute(purge.as_str(), &[]).await.unwrap();
+    expect_that!(deleted, eq(1));
+    let left = rows(&client, "SELECT id FROM cassia_requests").await;
+    expect_that!(left.unwrap(), elements_are![eq("new-1")]);
+}
