Delete old request ids

Cause: nothing deleted the rows of cassia_requests after their retention. Change: one daemon per group, the first live host in rendezvous order, purges in batches through its pool. The stand-in understands CURRENT_TIMESTAMP - INTERVAL, as the purge statement uses it. A shutdown waits until the control tasks are gone: the test that starts a daemon again on the same address found it in use once.

--- a/crates/standin/src/backend/sql.rs
+++ b/crates/standin/src/backend/sql.rs
@@ -115,6 +115,10 @@
             Some(text) => word(&time_minus(text), 6),
             None => word("CURRENT_TIMESTAMP", 3),
         },
+        "current_timestamp" => {
+            let text = interval_behind(&rest[1..])?;
+            word(&time_minus(text), 4)
+        }
         "pg_backend_pid" if is_call => {
             Some((new_token(TokenKind::Number, &process.to_string()), 3))
         }
--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -6,6 +6,7 @@
 mod cancel_forwarder;
 mod groups;
 mod peer_handler;
+mod request_purge;
 mod share_hub;
 mod share_keeper;
 mod shutdown;
@@ -40,6 +41,7 @@
 use cancel_forwarder::{forward_cancels, CANCEL_BUFFER};
 use groups::{follow_groups, GroupSides, GroupTable};
 use peer_handler::DaemonPeer;
+use request_purge::purge_requests;
 use share_hub::ShareHub;
 use share_keeper::{keep_shares, KeeperSeams};
 
@@ -280,6 +282,9 @@
             digest: self.digest.clone(),
         });
         self.spawn(tasks, shares);
+        let host = self.settings.host.clone();
+        let purge = purge_requests(self.callers.clone(), self.hub.clone(), host);
+        self.spawn(tasks, purge);
         let cancels = forward_cancels(
             ports.cancels,
             PeerChannelFactory::new(self.meter.clone()),
--- a/crates/transport/src/runtime/shutdown.rs
+++ b/crates/transport/src/runtime/shutdown.rs
@@ -23,7 +23,9 @@
             log::error!("a control task has ended, so the daemon ends: {ended:?}");
         }
     }
-    drop(control);
+    // Waits for the tasks, so that the daemon's addresses are free when
+    // `DaemonHandle::wait` returns.
+    control.shutdown().await;
     parts.groups.clear();
 }
 
--- a/crates/transport/tests/daemons.rs
+++ b/crates/transport/tests/daemons.rs
@@ -160,6 +160,42 @@
     expect_that!(start.elapsed(), ge(Duration::from_millis(450)));
 }
 
+/// Guards against recorded request ids that are kept for ever, and against a
+/// purge of ids that may still be asked for.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn old_request_ids_are_deleted() {
+    let bed = TestBed::start(1, ClusterSettings::default()).await;
+    let mut daemons = bed.daemons().await;
+    let client = connect(&daemons[0]).await.unwrap();
+    let set = "SET cassia.request_id = 'young-1'";
+    client.batch_execute(set).await.unwrap();
+    let create = "CREATE TABLE receipts (id int8 PRIMARY KEY)";
+    client.batch_execute(create).await.unwrap();
+    let old = "INSERT INTO cassia_requests (id, state, recorded_at) \
+               VALUES ('old-1', 'committed', now() - interval '10 days')";
+    client.batch_execute(old).await.unwrap();
+    daemons[0].begin_shutdown();
+    daemons[0].wait().await;
+    daemons[0] = bed.daemon(0).await;
+    daemons[0].serving().await;
+    let client = connect(&daemons[0]).await.unwrap();
+    let start = Instant::now();
+    let ids = loop {
+        let rows = client
+            .query("SELECT id FROM cassia_requests", &[])
+            .await
+            .unwrap();
+        let ids: Vec<String> = rows.iter().map(|row| row.get(0)).collect();
+        if ids.iter().all(|id| id != "old-1") || start.elapsed() > Duration::from_secs(4) {
+            break ids;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    expect_that!(ids, not(contains(eq("old-1"))));
+    expect_that!(ids, contains(eq("young-1")));
+}
+
 /// Guards against an endpoint without the metrics that operators watch.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
