--- a/crates/transport/src/runtime.rs
+++ b/crates/transport/src/runtime.rs
@@ -41,7 +41,7 @@
 use cancel_forwarder::{forward_cancels, CANCEL_BUFFER};
 use groups::{follow_groups, GroupSides, GroupTable};
 use peer_handler::DaemonPeer;
-use request_purge::purge_requests;
+use request_purge::{purge_requests, PurgeSeams};
 use share_hub::ShareHub;
 use share_keeper::{keep_shares, KeeperSeams};
 
@@ -282,8 +282,12 @@
             digest: self.digest.clone(),
         });
         self.spawn(tasks, shares);
-        let host = self.settings.host.clone();
-        let purge = purge_requests(self.callers.clone(), self.hub.clone(), host);
+        let purge = purge_requests(PurgeSeams {
+            host: self.settings.host.clone(),
+            callers: self.callers.clone(),
+            follower: self.follower.clone(),
+            hub: self.hub.clone(),
+        });
         self.spawn(tasks, purge);
         let cancels = forward_cancels(
             ports.cancels,
