Refuse documents that change two members of a group at once

Cause: daemons adopt a version at different instants, and the majorities of two member sets that differ by two need not share a member; a promotion could miss an accepted write. Change: the console and cassiactl config apply allow one member added or removed per group and version, and name the group otherwise. Figures: 6 cases, 3 refused; the check did not exist before. Conclusion: replace a member in two versions, the new one first.

--- a/crates/cassiactl/src/commands.rs
+++ b/crates/cassiactl/src/commands.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::time::Duration;
 
+use coordination::document_diff::check_member_changes;
 use state::check::CheckProblem;
 use state::document::IntentDocument;
 use tokio::net::TcpListener;
@@ -129,13 +130,18 @@
     let document = load_document(file)?;
     let archive = open_archive(settings);
     let head = archive.load_head().await?;
-    let base = head.map(|head| head.version).unwrap_or_default();
+    let base = head.as_ref().map(|head| head.version.clone());
+    let base = base.unwrap_or_default();
     if base.version != expected {
         return Err(CommandError::Conflict {
             expected,
             found: base.version,
         });
     }
+    let problems = head.map(|head| check_member_changes(&head.document, &document));
+    if let Some(problems) = problems.filter(|problems| !problems.is_empty()) {
+        return Err(bad_file(file, problems));
+    }
     match archive.publish(&base, &document).await {
         PublishAnswer::Accepted { version } => {
             println!("version {version} is accepted");
--- a/crates/cassiactl/src/console/routes.rs
+++ b/crates/cassiactl/src/console/routes.rs
@@ -9,11 +9,13 @@
 use axum::routing::{get, post};
 use axum::Router;
 use coordination::document_diff::{
-    difference, merge, merge_preferring_theirs, value_difference, DocumentChange, MergeError,
+    check_member_changes, difference, merge, merge_preferring_theirs, value_difference,
+    DocumentChange, MergeError,
 };
 use maud::{html, Markup};
 use protocol::peer::DocumentVersion;
 use serde_json::Value;
+use state::check::CheckProblem;
 use state::document::IntentDocument;
 use transport::seam::{ObjectStore, TableService};
 
@@ -207,6 +209,17 @@
     }
 }
 
+/// Reads a draft as a document that may follow its base, or reports all
+/// problems.
+fn check_draft(draft: &DocumentDraft) -> std::result::Result<IntentDocument, Vec<CheckProblem>> {
+    let document = read_draft(&draft.value)?;
+    let problems = check_member_changes(&draft.base, &document);
+    if problems.is_empty() {
+        return Ok(document);
+    }
+    Err(problems)
+}
+
 fn draft_changes(draft: &DocumentDraft) -> Vec<DocumentChange> {
     value_difference(&draft_value(&draft.base), &draft.value)
 }
@@ -278,7 +291,7 @@
     let session = context.signed_in(&headers)?;
     let draft = context.draft_of(&session).await?;
     let changes = draft_changes(&draft).len();
-    let problems = read_draft(&draft.value).err().unwrap_or_default();
+    let problems = check_draft(&draft).err().unwrap_or_default();
     let content = html! {
         (page::overview(&draft.value, draft.base_version.version, changes))
         (page::problem_list(&problems))
@@ -294,7 +307,7 @@
     let session = context.signed_in(&headers)?;
     let section = find_section(&key).ok_or(ConsoleError::NotFound)?;
     let draft = context.draft_of(&session).await?;
-    let mut problems = read_draft(&draft.value).err().unwrap_or_default();
+    let mut problems = check_draft(&draft).err().unwrap_or_default();
     problems.retain(|problem| problem.path.starts_with(section.key));
     let content = page::section_form(section, &draft.value, &session.form_token, &problems);
     Ok(show(section.title, &session, &content))
@@ -336,7 +349,7 @@
 }
 
 fn review_content(draft: &DocumentDraft, head: &StoredDocument, form_token: &str) -> Markup {
-    let read = read_draft(&draft.value);
+    let read = check_draft(draft);
     let problems = read.as_ref().err().cloned().unwrap_or_default();
     let after = read.unwrap_or_else(|_| draft.base.clone());
     let conflicts = match merge(&draft.base, &after, &head.document) {
@@ -364,7 +377,7 @@
     let session = context.signed_in_form(&headers, &fields)?;
     let draft = context.draft_of(&session).await?;
     let head = context.load_head().await?;
-    let ours = read_draft(&draft.value)
+    let ours = check_draft(&draft)
         .map_err(|_| ConsoleError::BadForm("the draft has problems".to_owned()))?;
     let merged = merge_preferring_theirs(&draft.base, &ours, &head.document)
         .map_err(|_| ConsoleError::BadForm("the changes cannot be merged".to_owned()))?;
@@ -389,7 +402,7 @@
 ) -> Result<Response> {
     let session = context.signed_in_form(&headers, &fields)?;
     let draft = context.draft_of(&session).await?;
-    let Ok(document) = read_draft(&draft.value) else {
+    let Ok(document) = check_draft(&draft) else {
         return Ok(Redirect::to("/review").into_response());
     };
     let answer = context
--- a/crates/coordination/src/document_diff.rs
+++ b/crates/coordination/src/document_diff.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 
 use serde_json::{Map, Value};
-use state::document::IntentDocument;
+use state::check::{CheckProblem, ProblemList};
+use state::document::{DatabaseGroup, GroupMember, IntentDocument};
 
 /// One difference between two documents.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,6 +126,48 @@
         .map_err(|error| MergeError::BadShape(error.to_string()))
 }
 
+/// Lists the groups whose members change by more than one in one version.
+///
+/// Daemons adopt a version at different instants. The majorities of two member
+/// sets that differ by one member always share a member; those of sets that
+/// differ by more need not, and a promotion could then miss an accepted write.
+pub fn check_member_changes(before: &IntentDocument, after: &IntentDocument) -> Vec<CheckProblem> {
+    let mut list = ProblemList::default();
+    for (index, group) in after.group.iter().enumerate() {
+        let Some(known) = before.find_group(&group.name) else {
+            continue;
+        };
+        let removed = known
+            .member
+            .iter()
+            .filter(|member| !has_member(group, member));
+        let added = group
+            .member
+            .iter()
+            .filter(|member| !has_member(known, member));
+        let (removed, added) = (removed.count(), added.count());
+        if removed + added > 1 {
+            list.push(
+                &format!("group[{index}].member"),
+                &format!(
+                    "{added} added and {removed} removed or moved in {}",
+                    group.name
+                ),
+                "one member added or removed in each version",
+            );
+        }
+    }
+    list.finish(()).err().unwrap_or_default()
+}
+
+/// A member whose control address changes counts as another one.
+fn has_member(group: &DatabaseGroup, member: &GroupMember) -> bool {
+    group
+        .member
+        .iter()
+        .any(|other| other.name == member.name && other.control_address == member.control_address)
+}
+
 fn to_value(document: &IntentDocument) -> Value {
     serde_json::to_value(document).expect("a document of plain fields converts to JSON")
 }
--- a/crates/coordination/tests/document_diff.rs
+++ b/crates/coordination/tests/document_diff.rs
@@ -1,7 +1,7 @@
 //! Guards against a merge that drops or overwrites another operator's change
 //! without showing it.
 
-use coordination::document_diff::{difference, merge, MergeError};
+use coordination::document_diff::{check_member_changes, difference, merge, MergeError};
 use googletest::prelude::*;
 use state::document::IntentDocument;
 
@@ -116,3 +116,58 @@
     );
     expect_that!(changes.len(), eq(1));
 }
+
+struct MemberCase {
+    name: &'static str,
+    change: fn(&mut IntentDocument),
+    allowed: bool,
+}
+
+const MEMBER_CASES: [MemberCase; 6] = [
+    MemberCase {
+        name: "one removed",
+        change: |document| drop(document.group[0].member.remove(2)),
+        allowed: true,
+    },
+    MemberCase {
+        name: "one removed in each of two groups",
+        change: |document| {
+            document.group[0].member.remove(2);
+            document.group[1].member.remove(0);
+        },
+        allowed: true,
+    },
+    MemberCase {
+        name: "two removed",
+        change: |document| document.group[0].member.truncate(1),
+        allowed: false,
+    },
+    MemberCase {
+        name: "one replaced by another name",
+        change: |document| document.group[0].member[0].name = "sightings-1x".to_owned(),
+        allowed: false,
+    },
+    MemberCase {
+        name: "one moved to another control address",
+        change: |document| document.group[0].member[0].control_address.set_port(7_999),
+        allowed: false,
+    },
+    MemberCase {
+        name: "a whole group removed",
+        change: |document| drop(document.group.remove(0)),
+        allowed: true,
+    },
+];
+
+/// Guards against two versions in force at the same time whose majorities share
+/// no member.
+#[gtest]
+fn members_of_a_group_change_one_at_a_time() {
+    let before = parse(FERNWAKE);
+    for case in MEMBER_CASES {
+        let mut after = before.clone();
+        (case.change)(&mut after);
+        let problems = check_member_changes(&before, &after);
+        expect_that!(problems.is_empty(), eq(case.allowed), "{}", case.name);
+    }
+}
