--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -418,18 +418,22 @@
     /// lent or on a document without this host's present share.
     fn has_started(&self, layout: &MemberLayout, now: Instant) -> bool {
         let running = now.saturating_duration_since(self.started_at);
-        let all = |test: &dyn Fn(&str) -> bool| {
-            let mut peers = layout.hosts().filter(|host| *host != self.own_host);
-            peers.all(test)
-        };
-        let loans_over =
-            running >= LOAN_DURATION + SHARE_MARGIN || all(&|peer| self.leases.was_granted(peer));
+        let loans_over = running >= LOAN_DURATION + SHARE_MARGIN
+            || self
+                .peers_of(layout)
+                .all(|peer| self.leases.was_granted(peer));
         let settled = self.document_settled
             || running >= DOCUMENT_SETTLE
-            || all(&|peer| self.leases.has_same_document(peer));
+            || self
+                .peers_of(layout)
+                .all(|peer| self.leases.has_same_document(peer));
         loans_over && settled
     }
 
+    fn peers_of<'a>(&'a self, layout: &'a MemberLayout) -> impl Iterator<Item = &'a str> {
+        layout.hosts().filter(|host| *host != self.own_host)
+    }
+
     fn over_allowance(&self, now: Instant) -> bool {
         let mut members = self.members.iter();
         members.any(|(name, share)| share.in_use > self.allowance(name, now))
--- a/crates/coordination/tests/confirm.rs
+++ b/crates/coordination/tests/confirm.rs
@@ -40,6 +40,12 @@
             pending: &[4, 5],
             expected: Some(5),
         },
+        AwaitCase {
+            name: "several commits of which two share a position",
+            reported: 4,
+            pending: &[5, 5, 7],
+            expected: Some(5),
+        },
         AwaitCase {
             name: "nothing above the reported position",
             reported: 4,
