--- a/crates/standin/examples/load.rs
+++ b/crates/standin/examples/load.rs
@@ -4,17 +4,21 @@
 //! ```sh
 //! cargo run --release -p standin --example load -- \
 //!     --site fernwake --scenario failover --seconds 5 --seed 1
-//! cargo run --release -p standin --example load -- --suite --seconds 4
+//! cargo build --release -p cassiad
+//! cargo run --release -p standin --example load -- --cost --seconds 5
+//! cargo run --release -p standin --example load -- --suite --seconds 3
 //! ```
 //!
 //! It prints a Markdown table and one JSON line for each run, and exits with 1
 //! if the check finds a broken guarantee in a run through the proxy.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
 use standin::load::caller::AccessMode;
+use standin::load::cost::CostOrder;
 use standin::load::faults::LoadScenario;
 use standin::load::profile::SiteProfile;
 use standin::load::report::RunReport;
@@ -30,9 +34,15 @@
     /// scenario (default: steady)
     #[argh(option, default = "LoadScenario::Steady")]
     scenario: LoadScenario,
-    /// run all scenarios
+    /// run all scenarios and measure the cost of the daemon
     #[argh(switch)]
     suite: bool,
+    /// measure the cost of the daemon only
+    #[argh(switch)]
+    cost: bool,
+    /// program of the daemon (default: cassiad of the same build)
+    #[argh(option)]
+    cassiad: Option<PathBuf>,
     /// duration of each run in seconds (default 5)
     #[argh(option, default = "5")]
     seconds: u64,
@@ -59,6 +69,10 @@
 
 /// Returns whether all guarantees were kept.
 async fn run(arguments: &LoadArguments) -> Result<bool> {
+    if arguments.cost {
+        measure_cost(arguments).await?;
+        return Ok(true);
+    }
     let mut reports = Vec::new();
     for order in orders(arguments) {
         let report = order.run().await?;
@@ -69,12 +83,36 @@
     for (_, report) in &reports {
         println!("{}", report.table_row());
     }
+    if arguments.suite {
+        measure_cost(arguments).await?;
+    }
     let mut measured = reports
         .iter()
         .filter(|(mode, _)| *mode == AccessMode::Proxy);
     Ok(measured.all(|(_, report)| report.is_good()))
 }
 
+async fn measure_cost(arguments: &LoadArguments) -> Result<()> {
+    let order = CostOrder {
+        cassiad: match &arguments.cassiad {
+            Some(path) => path.clone(),
+            // Examples lie one directory below the programs.
+            None => std::env::current_exe()?
+                .with_file_name("..")
+                .join("cassiad"),
+        },
+        duration: Duration::from_secs(arguments.seconds),
+        seed: arguments.seed,
+    };
+    let report = order.run().await?;
+    println!(
+        "\n{}\n\n{}",
+        serde_json::to_string(&report).expect("a report of numbers and texts serialises"),
+        report.table()
+    );
+    Ok(())
+}
+
 fn orders(arguments: &LoadArguments) -> Vec<RunOrder> {
     let sites = match arguments.site {
         Some(site) => vec![site],
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod caller;
 pub mod checker;
+pub mod cost;
 pub mod faults;
 pub mod profile;
 pub mod report;
--- a/crates/standin/src/load/bed.rs
+++ b/crates/standin/src/load/bed.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use state::document::IntentDocument;
-use state::member::MemberRole;
+use state::log::LogPosition;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_postgres::NoTls;
@@ -14,7 +14,7 @@
 use super::caller::CallTargets;
 use super::checker::StoredCounts;
 use super::profile::{SiteProfile, ENTRY_HOSTS, GROUPS, MEMBERS};
-use crate::backend::BackendSettings;
+use crate::backend::{BackendServer, BackendSettings};
 use crate::cluster::{Cluster, ClusterSettings, MemberAddress};
 use crate::relay::TcpRelay;
 use crate::site::{Result, Site, SiteError, SiteSettings, USER};
@@ -162,18 +162,32 @@
 
     /// Tells whether all members of a group run and have the primary's log.
     pub fn follows(&self, group: usize) -> bool {
+        let Some(target) = self.primary_log(group) else {
+            return false;
+        };
+        self.reaches(group, target)
+    }
+
+    /// Returns the newest position of a group's primary.
+    pub fn primary_log(&self, group: usize) -> Option<LogPosition> {
+        let cluster = &self.site.cluster;
+        let primary = cluster.server(cluster.primary(group)?)?;
+        Some(primary.report().log)
+    }
+
+    /// Tells whether all members of a group run at the term of its primary and
+    /// have the position.
+    pub fn reaches(&self, group: usize, target: LogPosition) -> bool {
         let cluster = &self.site.cluster;
         let Some(primary) = cluster.primary(group).and_then(|one| cluster.server(one)) else {
             return false;
         };
-        let primary = primary.report();
+        let term = primary.report().promised_term;
         (0..MEMBERS).all(|member| {
             let server = cluster.server(MemberAddress { group, member });
-            server.map(|one| one.report()).is_some_and(|report| {
-                report.promised_term == primary.promised_term
-                    && report.log.reaches(primary.log)
-                    && (report.role == MemberRole::Replica || report.log == primary.log)
-            })
+            server
+                .map(BackendServer::report)
+                .is_some_and(|report| report.promised_term == term && report.log.reaches(target))
         })
     }
 
--- a/crates/standin/src/load/faults.rs
+++ b/crates/standin/src/load/faults.rs
@@ -205,7 +205,12 @@
         for address in killed {
             bed.site.cluster.restart_member(address).await?;
         }
-        wait_for(bed, LoadBed::follows).await;
+        // Writes go on, so the members need not have the newest entries.
+        let targets: Vec<_> = (0..GROUPS).map(|group| bed.primary_log(group)).collect();
+        wait_for(bed, |bed, group| {
+            targets[group].is_some_and(|target| bed.reaches(group, target))
+        })
+        .await;
         watch(bed, RESTART_PAUSE).await;
     }
     Ok(faults)
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -217,7 +217,8 @@
     })
 }
 
-async fn publish(cluster: &Cluster, document: &IntentDocument) -> Result<()> {
+/// Publishes the first document of a cluster.
+pub(crate) async fn publish(cluster: &Cluster, document: &IntentDocument) -> Result<()> {
     document
         .validate()
         .map_err(|problems| SiteError::Document(format!("{problems:?}")))?;
