Start the log in the console

Cause: accepted versions and refused sign-ins were logged to nowhere. Change: cassiactl console starts the JSON log on standard output. Conclusion: operators can follow who accepted what.

--- a/crates/cassiactl/src/commands.rs
+++ b/crates/cassiactl/src/commands.rs
@@ -199,6 +199,9 @@
     let address = settings.console.address;
     let console_error = |error: std::io::Error| CommandError::Console(error.to_string());
     let listener = TcpListener::bind(address).await.map_err(console_error)?;
+    // The log goes to standard output as JSON lines; a second logger in the
+    // process is no reason to stop.
+    let _ = transport::logging::start(log::LevelFilter::Info);
     println!("console: http://{address}/");
     let context = ConsoleContext::new(archive, settings.console.operator, settings.daemon);
     console::serve(listener, context)
