Keep reads at replicas under lag

A read at the primary raised the session's pending bound, which kept it at the primary; and each read waited 20 ms for replicas that were too far behind. Change: only classes with staleness 0 set a pending bound; a read waits for a replica only if one has reached the second newest anchor.

--- a/crates/coordination/src/routing.rs
+++ b/crates/coordination/src/routing.rs
@@ -82,7 +82,7 @@
 
 /// Chooses the member for a read.
 ///
-/// Waits up to `replica_wait` for a replica only if a usable replica exists.
+/// Waits up to `replica_wait` for a replica only if one may catch up in time.
 /// Before the deadline a read that no member can serve waits for the next view,
 /// so that a failover shows as a pause and not as an error.
 pub fn choose_read(
@@ -99,7 +99,7 @@
         }
     }
     let patience = (request.arrived_at + request.replica_wait).min(request.deadline);
-    if now < patience && has_usable_replica(view, primary) {
+    if now < patience && has_current_replica(view, primary) {
         return RouteChoice::WaitUntil(patience);
     }
     if let (Some(primary), Some(required)) = (primary, required) {
@@ -180,10 +180,15 @@
         .map(|(key, _)| key)
 }
 
-fn has_usable_replica(view: &GroupView, primary: Option<MemberKey>) -> bool {
+/// Tells whether a usable replica may reach a new position soon. One that has
+/// not even reached the second newest anchor lags by more than the distance of
+/// two anchors, at least 100 ms, and the wait for it would be in vain.
+fn has_current_replica(view: &GroupView, primary: Option<MemberKey>) -> bool {
+    let second_newest = view.anchors.iter().rev().nth(1);
+    let position = second_newest.map_or(LogPosition::START, |anchor| anchor.position);
     view.members
         .iter()
-        .any(|(key, member)| is_replica(key, member, primary) && is_usable(member))
+        .any(|(key, member)| is_replica(key, member, primary) && can_serve(member, position))
 }
 
 /// A superseded primary is no replica: its reads would show commits that are
--- a/crates/coordination/tests/routing_liveness.rs
+++ b/crates/coordination/tests/routing_liveness.rs
@@ -129,6 +129,11 @@
         applied: 60,
         ..REPLICA
     };
+    // Below the second newest anchor, at 50.
+    let far_behind = Seen {
+        applied: 40,
+        ..REPLICA
+    };
     let leaving = Seen {
         leaving: true,
         ..REPLICA
@@ -156,6 +161,22 @@
             vec![PRIMARY, DOWN, busy, REPLICA],
             Expected::Member(3),
         ),
+        Case {
+            now_ms: 1_105,
+            ..case(
+                "a replica that may catch up is waited for",
+                vec![behind, DOWN, PRIMARY],
+                Expected::WaitUntil(1_120),
+            )
+        },
+        Case {
+            now_ms: 1_105,
+            ..case(
+                "a replica far behind is not waited for",
+                vec![far_behind, DOWN, PRIMARY],
+                Expected::Member(2),
+            )
+        },
         case(
             "leaving gets none",
             vec![REPLICA, leaving, PRIMARY],
--- a/crates/transport/src/session/read.rs
+++ b/crates/transport/src/session/read.rs
@@ -50,7 +50,7 @@
                     return self.run_write(work, summary, policy, deadline).await;
                 }
                 Ok(report) => {
-                    self.end_read(acquired, &report);
+                    self.end_read(acquired, &report, policy);
                     return Ok(());
                 }
                 Err(ExchangeFailure::Caller(error)) => return Err(StepError::CallerGone(error)),
@@ -87,13 +87,21 @@
         ran
     }
 
-    fn end_read(&mut self, mut acquired: AcquiredConnection, report: &ExchangeReport) {
+    fn end_read(
+        &mut self,
+        mut acquired: AcquiredConnection,
+        report: &ExchangeReport,
+        policy: &ReadPolicy,
+    ) {
         self.context.metrics.count_read(acquired.member.is_primary);
         if let Some(pass) = &mut acquired.pass {
             pass.note_answer();
         }
-        if let Some(reading) = report.position {
-            // What the primary showed may not be confirmed yet.
+        // What the primary showed may not be confirmed yet. A class that
+        // tolerates stale data need not see it again: under lag the bound would
+        // otherwise tie the session to the primary after its first read there.
+        let ordered = policy.max_staleness.is_zero();
+        if let Some(reading) = report.position.filter(|_| ordered) {
             self.bound.note_read(reading.position);
         }
         for name in &report.failed_names {
