End exchanges with a primary when a higher term is known

Cause: an exchange waits for bytes from its connection only. When the primary freezes, no byte and no reset arrives. At half the deadline the sibling probe finds no live server either, so the exchange waits on until the whole statement deadline (10 s by default), although the view shows a higher term after about 0.6 s. The deadline is then spent, so a recorded write is not retried.

Change: a connection to the primary carries a TermWatch with the term at which it was checked out. Sending, receiving and the silence check fail with a lost connection once a higher term is published, and the existing rules follow: a recorded write and a read are retried, a write without an id gets 2001, a transaction whose commit was not sent gets 2002. Data that has arrived is still read first. The watch is removed when the connection returns to the pool, and for a read-only transaction, which may go on at a superseded primary as before. The purge of request ids uses the watch too.

The watch follows a channel of its own instead of the views. Views change with each report, so that each commit would wake every exchange in flight; the highest term changes only in a failover.

cassiad/tests/processes.rs prints the longest pause between accepted writes as well.

The case with a frozen daemon is not changed, since its callers wait for the daemon. A read in flight at a frozen replica still waits as before.

--- a/crates/cassiad/tests/processes.rs
+++ b/crates/cassiad/tests/processes.rs
@@ -224,7 +224,14 @@
 fn check_gap(case: &FaultCase, number: usize, broken_at: Instant, result: &WriterResult) {
     let first = result.accepted.iter().find(|write| write.at > broken_at);
     let gap = first.map(|write| write.at - broken_at);
-    println!("{}: writer {number} waited {gap:?}", case.name);
+    // A write whose answer was under way at the fault makes the gap small, so
+    // the longest pause is printed too.
+    let times = result.accepted.windows(2);
+    let pause = times.map(|pair| pair[1].at - pair[0].at).max();
+    println!(
+        "{}: writer {number} waited {gap:?}, longest pause {pause:?}",
+        case.name
+    );
     expect_that!(gap, some(lt(FAILOVER_TARGET)), "{}", case.name);
 }
 
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -20,6 +20,8 @@
 
 pub use login::BackendIdentity;
 
+use crate::group_handle::TermWatch;
+
 /// Idle time before the first keep-alive probe. With the interval and count
 /// below a dead peer is noticed after 11 s, before another host takes over
 /// the connection share of a dead host (`takeover_after`, 15 s).
@@ -108,6 +110,9 @@
     known_position: LogPosition,
     prepared: HashSet<u128>,
     needs_discard: bool,
+    /// While a statement of the primary uses the connection: the term that it
+    /// may rely on. An operation fails when that term has ended.
+    term: Option<TermWatch>,
 }
 
 impl BackendConnection {
@@ -138,6 +143,7 @@
             known_position: LogPosition::START,
             prepared: HashSet::new(),
             needs_discard: false,
+            term: None,
         };
         login::log_in(&mut connection, identity, deadline).await?;
         Ok(connection)
@@ -184,6 +190,16 @@
         &mut self.prepared
     }
 
+    /// Lets operations fail once the watched term has ended, or no longer.
+    pub fn set_term(&mut self, term: Option<TermWatch>) {
+        self.term = term;
+    }
+
+    /// Waits until the term that the connection relies on has ended.
+    pub async fn term_ended(&mut self) {
+        term_ended(&mut self.term).await;
+    }
+
     /// Requires DISCARD ALL before the connection is reused.
     pub fn require_discard(&mut self) {
         self.needs_discard = true;
@@ -233,7 +249,11 @@
 
     /// Sends the composed frames.
     pub async fn send(&mut self, deadline: Instant) -> Result<()> {
-        let sent = timeout_at(deadline.into(), self.stream.write_all(&self.output)).await;
+        let sent = tokio::select! {
+            biased;
+            sent = timeout_at(deadline.into(), self.stream.write_all(&self.output)) => sent,
+            () = term_ended(&mut self.term) => return Err(self.fail(superseded())),
+        };
         self.output.clear();
         match sent {
             Ok(Ok(())) => Ok(()),
@@ -263,14 +283,17 @@
     }
 
     /// Waits for the first byte of an answer; returns false when none has come
-    /// by `instant`.
-    pub async fn has_input_by(&self, instant: Instant) -> bool {
+    /// by `instant`. The end of the term ends the wait too; the next read then
+    /// fails with it.
+    pub async fn has_input_by(&mut self, instant: Instant) -> bool {
         if !self.input.is_empty() {
             return true;
         }
-        timeout_at(instant.into(), self.stream.readable())
-            .await
-            .is_ok()
+        tokio::select! {
+            biased;
+            readable = timeout_at(instant.into(), self.stream.readable()) => readable.is_ok(),
+            () = term_ended(&mut self.term) => true,
+        }
     }
 
     /// Takes what has arrived; tells whether an answer has begun.
@@ -308,7 +331,11 @@
 
     async fn receive(&mut self, deadline: Instant) -> Result<()> {
         self.input.reserve(READ_BYTES);
-        let read = timeout_at(deadline.into(), self.stream.read_buf(&mut self.input)).await;
+        let read = tokio::select! {
+            biased;
+            read = timeout_at(deadline.into(), self.stream.read_buf(&mut self.input)) => read,
+            () = term_ended(&mut self.term) => return Err(self.fail(superseded())),
+        };
         match read {
             Ok(Ok(0)) => Err(self.fail(BackendError::Lost("closed by the server".to_owned()))),
             Ok(Ok(_)) => {
@@ -339,6 +366,18 @@
     }
 }
 
+/// Waits until the term has ended; never returns without a term.
+async fn term_ended(term: &mut Option<TermWatch>) {
+    match term {
+        Some(term) => term.ended().await,
+        None => std::future::pending().await,
+    }
+}
+
+fn superseded() -> BackendError {
+    BackendError::Lost("a higher term is known".to_owned())
+}
+
 fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
--- a/crates/transport/src/group_handle.rs
+++ b/crates/transport/src/group_handle.rs
@@ -5,7 +5,7 @@
 
 use coordination::view::{GroupView, GroupWatermark};
 use state::keys::MemberKey;
-use state::log::LogPosition;
+use state::log::{LogPosition, Term};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Result of a request to the monitor.
@@ -57,16 +57,78 @@
 #[derive(Clone, Debug)]
 pub struct GroupHandle {
     views: watch::Receiver<Arc<GroupView>>,
+    terms: watch::Receiver<Term>,
     requests: mpsc::Sender<MonitorRequest>,
 }
 
+/// Waits for the end of the term at which a connection was checked out.
+///
+/// It follows a channel that changes with the highest term only. Views change
+/// with each report, and would wake every exchange in flight at each commit.
+#[derive(Clone, Debug)]
+pub struct TermWatch {
+    terms: watch::Receiver<Term>,
+    term: Term,
+}
+
+impl TermWatch {
+    /// Waits until a term above the watched one is known. Never returns when
+    /// the monitor has ended without one.
+    pub async fn ended(&mut self) {
+        let term = self.term;
+        let ended = self.terms.wait_for(|highest| *highest > term).await.is_ok();
+        if !ended {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Publishes views, and the highest term whenever it changes.
+#[derive(Debug)]
+pub(crate) struct ViewPublisher {
+    views: watch::Sender<Arc<GroupView>>,
+    terms: watch::Sender<Term>,
+}
+
+impl ViewPublisher {
+    pub(crate) fn publish(&self, view: GroupView) {
+        let highest = view.highest_term();
+        // The view comes first: who sees the new term routes by it.
+        self.views.send_replace(Arc::new(view));
+        self.terms.send_if_modified(|term| {
+            let changed = *term != highest;
+            *term = highest;
+            changed
+        });
+    }
+}
+
 impl GroupHandle {
-    /// Builds a handle from the monitor's channels.
-    pub fn new(
-        views: watch::Receiver<Arc<GroupView>>,
+    /// Builds a handle and the publisher of its views.
+    pub(crate) fn new(
+        view: GroupView,
         requests: mpsc::Sender<MonitorRequest>,
-    ) -> Self {
-        Self { views, requests }
+    ) -> (Self, ViewPublisher) {
+        let (term_sender, terms) = watch::channel(view.highest_term());
+        let (view_sender, views) = watch::channel(Arc::new(view));
+        let publisher = ViewPublisher {
+            views: view_sender,
+            terms: term_sender,
+        };
+        let handle = Self {
+            views,
+            terms,
+            requests,
+        };
+        (handle, publisher)
+    }
+
+    /// Returns a watch for the end of `term`.
+    pub fn watch_term(&self, term: Term) -> TermWatch {
+        TermWatch {
+            terms: self.terms.clone(),
+            term,
+        }
     }
 
     /// Returns the newest view.
--- a/crates/transport/src/monitor/task.rs
+++ b/crates/transport/src/monitor/task.rs
@@ -1,13 +1,11 @@
 //! The monitor's task: takes events, updates its parts and starts calls.
 
 use std::future::Future;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coordination::failover::{
     FailoverAction, FailoverEvent, FailoverPhase, ProposerNumber, StepAnswer,
 };
-use coordination::view::GroupView;
 use protocol::member_control::{ControlRefusal, ProposerId};
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -21,7 +19,7 @@
 use super::probe_budget::WatchedMembers;
 use super::rounds::RoundBoard;
 use super::{MonitorConfig, MonitorSeams};
-use crate::group_handle::{GroupHandle, MonitorRequest};
+use crate::group_handle::{GroupHandle, MonitorRequest, ViewPublisher};
 use crate::seam::{ControlFactory, MemberControl, Result, SeamError, TableService};
 use state::document::FailoverTiming;
 use state::member::MemberReport;
@@ -64,9 +62,9 @@
     let (requests, inbox) = mpsc::channel(REQUEST_BUFFER);
     let meter = seams.budget.meter().clone();
     let monitor = GroupMonitor::new(seams, config);
-    let (publisher, views) = watch::channel(Arc::new(monitor.members.view().clone()));
+    let (handle, publisher) = GroupHandle::new(monitor.members.view().clone(), requests);
     let task = async move { meter.run(monitor.run(inbox, publisher)).await };
-    (GroupHandle::new(views, requests), task)
+    (handle, task)
 }
 
 struct GroupMonitor<F: ControlFactory, T, C> {
@@ -115,11 +113,7 @@
         }
     }
 
-    async fn run(
-        mut self,
-        mut inbox: mpsc::Receiver<MonitorRequest>,
-        publisher: watch::Sender<Arc<GroupView>>,
-    ) {
+    async fn run(mut self, mut inbox: mpsc::Receiver<MonitorRequest>, publisher: ViewPublisher) {
         loop {
             self.advance();
             self.publish(&publisher);
@@ -415,9 +409,9 @@
         timers.into_iter().flatten().fold(first, Instant::min)
     }
 
-    fn publish(&mut self, publisher: &watch::Sender<Arc<GroupView>>) {
+    fn publish(&mut self, publisher: &ViewPublisher) {
         if std::mem::take(&mut self.view_changed) {
-            publisher.send_replace(Arc::new(self.members.view().clone()));
+            publisher.publish(self.members.view().clone());
         }
     }
 }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -318,7 +318,10 @@
         let Some(pool) = self.pool.take() else {
             return;
         };
-        let connection = self.connection.take();
+        let mut connection = self.connection.take();
+        if let Some(connection) = &mut connection {
+            connection.set_term(None);
+        }
         match connection {
             Some(connection) if connection.is_clean() => pool.check_in(Some(connection)),
             Some(connection) if connection.is_settled() => clean::spawn(pool, connection),
--- a/crates/transport/src/session/exchange.rs
+++ b/crates/transport/src/session/exchange.rs
@@ -195,7 +195,11 @@
         if let Some(silent_at) = self.silent_at.take() {
             if !self.connection.has_input_by(silent_at).await {
                 let pool = self.connection.pool().clone();
-                if pool.sibling_answers(deadline).await && !self.connection.is_readable() {
+                let answers = tokio::select! {
+                    answers = pool.sibling_answers(deadline) => answers,
+                    () = self.connection.term_ended() => false,
+                };
+                if answers && !self.connection.is_readable() {
                     pool.close_idle_before(self.connection.received_at());
                     let reason = "silent while the server answers others";
                     return Err(BackendError::Lost(reason.to_owned()).into());
--- a/crates/transport/src/session/purge.rs
+++ b/crates/transport/src/session/purge.rs
@@ -28,6 +28,7 @@
     let Ok(mut connection) = pool.check_out(deadline).await else {
         return 0;
     };
+    connection.set_term(Some(group.handle.watch_term(view.highest_term())));
     let statement = purge_sql(retention);
     match run_queries(&mut connection, &[&statement], deadline).await {
         Ok(report) if report.error.is_none() => deleted_rows(&report.command_tag),
--- a/crates/transport/src/session/read.rs
+++ b/crates/transport/src/session/read.rs
@@ -100,6 +100,8 @@
             self.batch.forget(name);
         }
         if acquired.connection.status() != STATUS_IDLE {
+            // A read-only transaction may go on at a superseded primary.
+            acquired.connection.set_term(None);
             self.pin = Some(PinnedConnection {
                 member: acquired.member.key,
                 term: acquired.member.term,
--- a/crates/transport/src/session/route.rs
+++ b/crates/transport/src/session/route.rs
@@ -182,7 +182,7 @@
     request: &AdmissionRequest,
 ) -> std::result::Result<AcquiredConnection, AcquireFailure> {
     let pass = admit(group, &member, request).await?;
-    let connection = match member.pool.check_out(request.deadline).await {
+    let mut connection = match member.pool.check_out(request.deadline).await {
         Ok(connection) => connection,
         Err(PoolError::Exhausted) => {
             let reason = "no connection became free";
@@ -194,6 +194,9 @@
             return Err(AcquireFailure::Unreachable);
         }
     };
+    if member.is_primary {
+        connection.set_term(Some(group.handle.watch_term(member.term)));
+    }
     Ok(AcquiredConnection {
         member,
         pass: Some(pass),
