Send idle shares as counts, so that control work stays within 5 KB/s

Cause: the digest of a daemon named every member with an idle share. With 75 members it took 1,038 to 1,070 bytes. A trial run that logged each read and write (4 daemons, 14 s) showed 80 of these messages on one daemon, most of its 114,511 bytes. The probes were not the excess: the mean cost of a call is measured over all control bytes, so the digests stretched the probe interval, to 4 to 10 s in that run, but no interval could reduce the digests themselves. Change: the digest holds one count per member in order of name. Positions are used only if both daemons have the same document. This changes the encoding of `exchange`: daemons with and without the change don't understand each other's digests. Only the pure share table has tests of lending; lending between daemons was not run.

--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -12,16 +12,6 @@
     pub digest: String,
 }
 
-/// Idle connections that a host can lend at one member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
-pub struct IdleShare {
-    /// Name of the backend server.
-    pub member: String,
-    /// Number of idle connections of the share.
-    pub count: u32,
-}
-
 /// What a daemon tells its peers about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -34,12 +24,26 @@
     pub leaving: bool,
     /// Document version in force.
     pub document: DocumentVersion,
-    /// Idle connections that may be borrowed.
-    pub idle: Vec<IdleShare>,
+    /// Idle connections that may be borrowed, one count per member of
+    /// `document` in order of name. Names would make the digest grow by about
+    /// 14 bytes per member, which exceeds the control budget at 75 members.
+    pub idle: Vec<u32>,
     /// Backend servers that the platform lists as leaving, as far as known.
     pub leaving_servers: Vec<String>,
 }
 
+impl PeerDigest {
+    /// Returns how many connections may be borrowed at the member at `position`
+    /// in order of name. The positions of another document than `document` are
+    /// unknown.
+    pub fn idle_at(&self, document: &DocumentVersion, position: usize) -> Option<u32> {
+        if self.document != *document {
+            return None;
+        }
+        self.idle.get(position).copied().filter(|count| *count > 0)
+    }
+}
+
 /// State of one group, as a daemon sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
--- a/crates/standin/examples/control_cost.rs
+++ b/crates/standin/examples/control_cost.rs
@@ -27,6 +27,9 @@
     /// seconds of each measurement (default 6)
     #[argh(option, default = "6")]
     seconds: u64,
+    /// measure only the cases with this number of groups
+    #[argh(option)]
+    groups: Option<usize>,
 }
 
 /// One site that is measured.
@@ -78,7 +81,8 @@
     );
     println!("| members | peers | changes/min | control B/s | control CPU % | store requests/s, all daemons | memory KiB/daemon |");
     println!("|---|---|---|---|---|---|---|");
-    for case in CASES {
+    let is_chosen = |case: &CostCase| arguments.groups.is_none_or(|groups| case.groups == groups);
+    for case in CASES.into_iter().filter(is_chosen) {
         measure(case, Duration::from_secs(arguments.seconds)).await?;
     }
     Ok(())
--- a/crates/transport/src/peer/own_digest.rs
+++ b/crates/transport/src/peer/own_digest.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use protocol::peer::{DocumentVersion, IdleShare, PeerDigest};
+use protocol::peer::{DocumentVersion, PeerDigest};
 
 use crate::membership_hub::MembershipHub;
 
@@ -20,7 +20,7 @@
     hub: MembershipHub,
     leaving: AtomicBool,
     document: Mutex<DocumentVersion>,
-    idle: Mutex<Vec<IdleShare>>,
+    idle: Mutex<Vec<u32>>,
 }
 
 impl OwnDigest {
@@ -84,8 +84,10 @@
         *document = version;
     }
 
-    /// Notes the idle connections that may be borrowed.
-    pub fn set_idle(&self, idle: Vec<IdleShare>) {
+    /// Notes the idle connections that may be borrowed, by member in order of
+    /// name. Counts of an earlier document may be sent for a moment; the lender
+    /// checks each request, so they only cause a refused one.
+    pub fn set_idle(&self, idle: Vec<u32>) {
         *self
             .parts
             .idle
--- a/crates/transport/src/runtime/share_hub.rs
+++ b/crates/transport/src/runtime/share_hub.rs
@@ -10,7 +10,7 @@
     GrantAnswer, GrantNote, GrantedLoan, LoanId, LoanRequest, MemberLayout, ServingHost,
     ShareAction, ShareTable, TakeoverRow, DOCUMENT_SETTLE,
 };
-use protocol::peer::{BorrowReply, BorrowRequest, GrantReply, GrantRequest, IdleShare};
+use protocol::peer::{BorrowReply, BorrowRequest, GrantReply, GrantRequest};
 use state::document::{GroupMember, IntentDocument};
 
 use crate::caller::context::{GroupContext, MemberShare};
@@ -103,21 +103,25 @@
         allowance.unwrap_or(0)
     }
 
-    /// Returns the connections of the own share that are not open.
-    pub(super) fn idle(&self, now: Instant) -> Vec<IdleShare> {
+    /// Returns the connections of the own share that are not open, by member in
+    /// order of name.
+    pub(super) fn idle(&self, now: Instant) -> Vec<u32> {
         let state = self.lock();
         let Some(state) = state.as_ref() else {
             return Vec::new();
         };
         let idle = |member: &String| {
             let open = state.open.get(member).copied().unwrap_or(0);
-            let count = state.table.allowance(member, now).saturating_sub(open);
-            (count > 0).then(|| IdleShare {
-                member: member.clone(),
-                count,
-            })
+            state.table.allowance(member, now).saturating_sub(open)
         };
-        state.members.keys().filter_map(idle).collect()
+        state.members.keys().map(idle).collect()
+    }
+
+    /// Returns the position of a member in order of name.
+    pub(super) fn position(&self, member: &str) -> Option<usize> {
+        let state = self.lock();
+        let mut names = state.as_ref()?.members.keys();
+        names.position(|name| name == member)
     }
 
     /// Returns the steps that are due.
--- a/crates/transport/src/runtime/share_keeper.rs
+++ b/crates/transport/src/runtime/share_keeper.rs
@@ -155,13 +155,16 @@
         if self.borrowing {
             return;
         }
+        let Some(position) = self.seams.shares.position(pool.name()) else {
+            return;
+        };
+        let document = self.seams.digest.current().document;
         let now = Instant::now();
         let peers = self.seams.hub.peers(now).into_iter();
         let fresh = peers.filter(|peer| peer.age_ms <= DIGEST_AGE_MS && !peer.digest.leaving);
         let offers = fresh.filter_map(|peer| {
-            let idle = peer.digest.idle.iter();
-            let found = idle.filter(|idle| idle.member == pool.name()).last()?;
-            Some((found.count, peer.digest.host.clone()))
+            let count = peer.digest.idle_at(&document, position)?;
+            Some((count, peer.digest.host.clone()))
         });
         let Some((_, lender)) = offers.max() else {
             return;
