Wait when a backend server refuses a connection at its limit

Cause: a refusal with 53300 counted as a failed attempt: 60 statements at a member that accepts 3 connections took 84 retries from the budget, marked the member as suspect and opened connections again and again. Change: the pool shrinks its share to the accepted connections, the request waits there, and the share table hears of the refusal. Conclusion: reaching the limit is a normal event.

--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -65,6 +65,17 @@
     Protocol(String),
 }
 
+/// SQLSTATE with which a server refuses a connection at its limit.
+const TOO_MANY_CONNECTIONS: &str = "53300";
+
+impl BackendError {
+    /// Tells whether the server refused a connection because it has as many as
+    /// it accepts.
+    pub fn is_limit_refusal(&self) -> bool {
+        matches!(self, Self::Refused { sqlstate, .. } if sqlstate == TOO_MANY_CONNECTIONS)
+    }
+}
+
 impl std::fmt::Display for BackendError {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{oneshot, Mutex as AsyncMutex};
-use tokio::time::timeout_at;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::backend::{BackendConnection, BackendError, BackendIdentity};
 
@@ -30,6 +30,9 @@
 /// Result of taking a connection.
 pub type Result<T> = std::result::Result<T, PoolError>;
 
+/// Pause after the server refused a connection at its limit.
+const LIMIT_REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Why no connection could be taken. No statement was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PoolError {
@@ -68,6 +71,9 @@
     open: usize,
     share: usize,
     waiters: VecDeque<oneshot::Sender<PooledConnection>>,
+    /// Connections that were open when the server last refused one at its
+    /// limit, until the refusal is taken.
+    refused_at: Option<u32>,
 }
 
 impl MemberPool {
@@ -91,6 +97,7 @@
                 open: 0,
                 share,
                 waiters: VecDeque::new(),
+                refused_at: None,
             }),
         })
     }
@@ -159,20 +166,55 @@
         self.serve_waiters(state);
     }
 
-    /// Takes a connection, in order of arrival.
+    /// Takes a connection, in order of arrival. A refusal by the server at its
+    /// limit shrinks the share, and the request waits for the connections that
+    /// there are.
     pub async fn check_out(self: &Arc<Self>, deadline: Instant) -> Result<PooledConnection> {
-        let mut pooled = match self.take_now() {
-            Ok(pooled) => pooled,
+        loop {
+            let mut pooled = self.wait_for_place(deadline).await?;
+            let is_alive = |connection: &BackendConnection| connection.is_alive();
+            if pooled.connection.as_ref().is_some_and(is_alive) {
+                return Ok(pooled);
+            }
+            match pooled.open(deadline).await {
+                Ok(()) => return Ok(pooled),
+                Err(PoolError::Connect(error)) if error.is_limit_refusal() => {
+                    self.note_limit_refusal();
+                    drop(pooled);
+                }
+                Err(error) => return Err(error),
+            }
+            let retry_at = Instant::now() + LIMIT_REFUSAL_PAUSE;
+            if retry_at >= deadline {
+                return Err(PoolError::Exhausted);
+            }
+            sleep_until(retry_at.into()).await;
+        }
+    }
+
+    async fn wait_for_place(self: &Arc<Self>, deadline: Instant) -> Result<PooledConnection> {
+        match self.take_now() {
+            Ok(pooled) => Ok(pooled),
             Err(waiter) => timeout_at(deadline.into(), waiter)
                 .await
                 .map_err(|_| PoolError::Exhausted)?
-                .map_err(|_| PoolError::Exhausted)?,
-        };
-        let is_alive = |connection: &BackendConnection| connection.is_alive();
-        if !pooled.connection.as_ref().is_some_and(is_alive) {
-            pooled.open(deadline).await?;
+                .map_err(|_| PoolError::Exhausted),
         }
-        Ok(pooled)
+    }
+
+    /// Returns how many connections were open when the server refused one at
+    /// its limit, once for each refusal.
+    pub fn take_limit_refusal(&self) -> Option<u32> {
+        self.lock().refused_at.take()
+    }
+
+    /// Shrinks the share to the connections beside the one that was refused.
+    /// One place always stays, so that the server is asked again.
+    fn note_limit_refusal(&self) {
+        let mut state = self.lock();
+        let accepted = state.open.saturating_sub(1);
+        state.share = state.share.min(accepted.max(1));
+        state.refused_at = Some(u32::try_from(accepted).unwrap_or(u32::MAX));
     }
 
     /// Tells whether a new connection is answered, which shows that the server
--- a/crates/transport/src/runtime/share_hub.rs
+++ b/crates/transport/src/runtime/share_hub.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Notes that a member refused a connection at its limit.
+    pub(super) fn note_limit_refusal(&self, member: &str, accepted: u32, now: Instant) {
+        log::info!(
+            "backend server {member} accepts no more than {accepted} connections of this host"
+        );
+        if let Some(state) = self.lock().as_mut() {
+            state.table.refused_at_limit(member, accepted, now);
+        }
+    }
+
     /// Returns how many connections to a member may be open.
     pub(super) fn allowance(&self, member: &str, now: Instant) -> u32 {
         let state = self.lock();
--- a/crates/transport/src/runtime/share_keeper.rs
+++ b/crates/transport/src/runtime/share_keeper.rs
@@ -89,6 +89,11 @@
                 }
                 let open = u32::try_from(pool.open()).unwrap_or(u32::MAX);
                 self.seams.shares.set_open(pool.name(), open);
+                if let Some(accepted) = pool.take_limit_refusal() {
+                    self.seams
+                        .shares
+                        .note_limit_refusal(pool.name(), accepted, now);
+                }
                 if pool.spare() == 0 && pool.gate().queued() > 0 {
                     self.borrow(&pool);
                 }
