Keep the host list for later documents; order only fresh reads

Cause: (1) a list that was read before the document was forgotten, so a daemon whose platform failed within its first second knew no live peer during the outage: a version that one daemon had did not reach the other three in 9 s. (2) reads of staleness 0 still raised the bound of the session's other reads. Change: the membership table keeps the last list and applies it to each document; tolerant reads use the accepted part of the bound only.

--- a/crates/cassiad/tests/processes.rs
+++ b/crates/cassiad/tests/processes.rs
@@ -319,3 +319,41 @@
     let refused = connect(&site.config(0)).await;
     expect_that!(refused.is_none(), eq(true));
 }
+
+/// Guards against a daemon that misses the versions accepted while it was cut
+/// off from everybody, or that goes back to an older one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_daemon_that_was_frozen_adopts_the_newest_version() {
+    const ADOPTION_TARGET: Duration = Duration::from_secs(9);
+    let site = ProcessSite::start().await;
+    site.daemons[1].signal("-STOP");
+    let mut document = site.document();
+    for base in 1..=2 {
+        document.limits.queue_length = 1_000 + base;
+        site.publish(base, &document).await;
+    }
+    let reached = wait_for_version(&site, 0, 3, ADOPTION_TARGET).await;
+    println!("in force on the other daemon after {reached:?}");
+    expect_that!(reached, some(lt(ADOPTION_TARGET)));
+    site.daemons[1].signal("-CONT");
+    let reached = wait_for_version(&site, 1, 3, ADOPTION_TARGET).await;
+    println!("in force on the daemon that was frozen after {reached:?}");
+    expect_that!(reached, some(lt(ADOPTION_TARGET)));
+}
+
+async fn wait_for_version(
+    site: &ProcessSite,
+    daemon: usize,
+    version: u64,
+    limit: Duration,
+) -> Option<Duration> {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        if site.version_in_force(daemon).await == Some(version) {
+            return Some(start.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    None
+}
--- a/crates/cassiad/tests/support/process_site.rs
+++ b/crates/cassiad/tests/support/process_site.rs
@@ -15,6 +15,7 @@
 };
 use tokio_postgres::{Client, Config, NoTls};
 use transport::document_store;
+use transport::peer::{PeerChannelFactory, PeerClient, PeerFactory};
 use transport::platform::PlatformClient;
 
 pub const GROUP: &str = "sightings";
@@ -117,7 +118,7 @@
             let started = site.start_member(member);
             site.members.push(started);
         }
-        site.publish().await;
+        site.publish(0, &site.document()).await;
         for daemon in 0..DAEMONS {
             let started = site.start_daemon(daemon);
             site.daemons.push(started);
@@ -178,16 +179,25 @@
         panic!("daemon {daemon} does not serve callers within 10 s");
     }
 
-    async fn publish(&self) {
+    /// Publishes a document on top of version `base`.
+    pub async fn publish(&self, base: u64, document: &IntentDocument) {
         let address = platform_address(self.number);
         let client = PlatformClient::new(address, Duration::from_secs(2));
-        let document = self.document();
         document.validate().expect("the document is valid");
-        let action = document_store::publish(&client, &client, 0, &document.render()).await;
+        let text = document.render();
+        let action = document_store::publish(&client, &client, base, &text).await;
         assert!(matches!(action, PublishAction::Published(_)), "{action:?}");
     }
 
-    fn document(&self) -> IntentDocument {
+    /// Asks a daemon for the version that it has in force.
+    pub async fn version_in_force(&self, daemon: usize) -> Option<u64> {
+        let peer = self.daemon_address(daemon, PEER_PORT);
+        let client = PeerChannelFactory::default().client(peer);
+        let status = client.status().await.ok()?;
+        Some(status.digest.document.version)
+    }
+
+    pub fn document(&self) -> IntentDocument {
         let centre = "centre-1".to_owned();
         let member = |index| GroupMember {
             name: format!("server-{index}"),
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -106,7 +106,9 @@
 pub struct MembershipTable {
     own_host: String,
     hosts: BTreeMap<String, HostRecord>,
-    list_received: bool,
+    /// The last list that was read: whether each name is leaving. It is kept
+    /// for hosts that a later document names, since the next read may fail.
+    list: Option<BTreeMap<String, bool>>,
 }
 
 impl MembershipTable {
@@ -115,7 +117,7 @@
         Self {
             own_host: own_host.to_owned(),
             hosts: BTreeMap::new(),
-            list_received: false,
+            list: None,
         }
     }
 
@@ -138,21 +140,25 @@
             record.data_centre.clone_from(&host.data_centre);
             record.entry = host.entry;
         }
+        self.mark_listed();
     }
 
     /// Takes over a list that this daemon read. A failed read changes nothing:
     /// the last list stays in force.
     pub fn apply_list(&mut self, list: &[ListedHost]) {
-        self.list_received = true;
-        for record in self.hosts.values_mut() {
-            record.listed = false;
-            record.listed_leaving = false;
-        }
-        for listed in list {
-            if let Some(record) = self.hosts.get_mut(&listed.name) {
-                record.listed = true;
-                record.listed_leaving = listed.leaving;
-            }
+        let entry = |listed: &ListedHost| (listed.name.clone(), listed.leaving);
+        self.list = Some(list.iter().map(entry).collect());
+        self.mark_listed();
+    }
+
+    fn mark_listed(&mut self) {
+        let Some(list) = &self.list else {
+            return;
+        };
+        for (name, record) in &mut self.hosts {
+            let leaving = list.get(name);
+            record.listed = leaving.is_some();
+            record.listed_leaving = leaving.copied().unwrap_or(false);
         }
     }
 
@@ -221,7 +227,7 @@
         let heard = record
             .answered_at
             .is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_GRACE);
-        match record.listed || heard || !self.list_received {
+        match record.listed || heard || self.list.is_none() {
             true => MembershipState::Live,
             false => MembershipState::Absent,
         }
--- a/crates/coordination/src/session_bound.rs
+++ b/crates/coordination/src/session_bound.rs
@@ -66,6 +66,14 @@
         self.accepted.map(|accepted| accepted.max(self.pending))
     }
 
+    /// Returns the bound without its pending part, for reads that tolerate
+    /// stale data. They need the session's accepted writes, but not what an
+    /// earlier read saw: under lag the pending part would tie the session to
+    /// the primary after its first read there.
+    pub fn accepted_bound(&self) -> Option<LogPosition> {
+        self.accepted
+    }
+
     /// Returns the token for the caller, or `None` while the bound is not
     /// known. It includes the pending part, so that reads stay ordered when
     /// the session moves to another proxy.
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -121,3 +121,18 @@
     // The suspected reader still counts itself; the next in order joins.
     expect_that!(count(&tables), eq(3));
 }
+
+/// Guards against a list that is forgotten because it was read before the
+/// document that names its hosts: a daemon whose platform then failed knew no
+/// live peer for as long as the outage lasted.
+#[gtest]
+fn a_list_counts_for_hosts_that_a_later_document_names() {
+    let now = Instant::now();
+    let mut table = MembershipTable::new("h1");
+    table.apply_list(&full_list(true));
+    let mut names: Vec<KnownHost> = HOSTS.iter().map(|name| known(name, true)).collect();
+    names.push(known("db1", false));
+    table.apply_document(&names);
+    expect_that!(table.state("h2", now), eq(MembershipState::Live));
+    expect_that!(table.state("db1", now), eq(MembershipState::Leaving));
+}
--- a/crates/transport/src/session/read.rs
+++ b/crates/transport/src/session/read.rs
@@ -4,6 +4,7 @@
 
 use coordination::retry::{ErrorClass, RetryKind, SendProgress};
 use coordination::routing::ReadRequest;
+use state::log::LogPosition;
 
 use super::attempt::AttemptCounter;
 use super::exchange::{self, ExchangeFailure, ExchangeOrder, ExchangeReport};
@@ -50,7 +51,7 @@
                     return self.run_write(work, summary, policy, deadline).await;
                 }
                 Ok(report) => {
-                    self.end_read(acquired, &report, policy);
+                    self.end_read(acquired, &report);
                     return Ok(());
                 }
                 Err(ExchangeFailure::Caller(error)) => return Err(StepError::CallerGone(error)),
@@ -87,21 +88,13 @@
         ran
     }
 
-    fn end_read(
-        &mut self,
-        mut acquired: AcquiredConnection,
-        report: &ExchangeReport,
-        policy: &ReadPolicy,
-    ) {
+    fn end_read(&mut self, mut acquired: AcquiredConnection, report: &ExchangeReport) {
         self.context.metrics.count_read(acquired.member.is_primary);
         if let Some(pass) = &mut acquired.pass {
             pass.note_answer();
         }
-        // What the primary showed may not be confirmed yet. A class that
-        // tolerates stale data need not see it again: under lag the bound would
-        // otherwise tie the session to the primary after its first read there.
-        let ordered = policy.max_staleness.is_zero();
-        if let Some(reading) = report.position.filter(|_| ordered) {
+        if let Some(reading) = report.position {
+            // What the primary showed may not be confirmed yet.
             self.bound.note_read(reading.position);
         }
         for name in &report.failed_names {
@@ -123,6 +116,15 @@
         }
     }
 
+    /// Returns the position that a read must see. Only classes without
+    /// staleness order their reads by what earlier reads saw.
+    fn read_bound(&self, policy: &ReadPolicy) -> Option<LogPosition> {
+        if policy.max_staleness.is_zero() {
+            return self.bound.bound();
+        }
+        self.bound.accepted_bound()
+    }
+
     /// Finds a connection for a read; `None` when the chosen member could not
     /// be used and another attempt may succeed.
     async fn acquire_read(
@@ -147,7 +149,7 @@
     ) -> Result<Option<AcquiredConnection>> {
         self.ensure_bound(deadline).await?;
         let request = ReadRequest {
-            bound: self.bound.bound().unwrap_or_default(),
+            bound: self.read_bound(policy).unwrap_or_default(),
             max_staleness: policy.max_staleness,
             arrived_at: started,
             deadline,
