Log the errors that callers get with their fields

Change: an error answered to a caller is logged with session, group, term, code and request; unknown outcomes at level warn, not-run ones at debug.

--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -31,7 +31,7 @@
 use protocol::classify::StatementKind;
 use protocol::frame::{self, tag, ErrorSeverity, WireFrame};
 use protocol::mark::VariableChange;
-use protocol::result_code::ResultCode;
+use protocol::result_code::{ResultCode, RunOutcome};
 use state::keys::CustomerKey;
 
 use crate::backend::{STATUS_FAILED, STATUS_IDLE, STATUS_TRANSACTION};
@@ -489,7 +489,30 @@
         self.io.flush().await
     }
 
+    /// Logs a refusal. Those that ran nothing are frequent under overload, so
+    /// that they are logged at level debug.
+    fn log_refusal(&self, refusal: &Refusal) {
+        let level = match refusal.code.outcome() {
+            RunOutcome::NotRun => log::Level::Debug,
+            RunOutcome::Ran | RunOutcome::Unknown => log::Level::Warn,
+        };
+        let request = self.variables.request_id.as_ref();
+        log::log!(
+            level,
+            session = self.cancel.key().process,
+            group = self.group.name.as_str(),
+            term = self.group.handle.view().highest_term().0,
+            code = refusal.code.number(),
+            request = request.map_or("", |id| id.as_str());
+            "statement answered with an error: {}",
+            refusal.reason
+        );
+    }
+
     async fn answer_error(&mut self, error: StepError, synced: bool) -> IoResult<()> {
+        if let StepError::Refused(refusal) = &error {
+            self.log_refusal(refusal);
+        }
         let out = &mut self.io.output;
         match error {
             StepError::CallerGone(error) => return Err(error),
