--- a/crates/cassiad/src/main.rs
+++ b/crates/cassiad/src/main.rs
@@ -1,25 +1,32 @@
 //! The proxy daemon.
 //!
-//! Borders: reads the settings file, starts one daemon of `transport::runtime`
-//! and turns signals into its shutdown.
+//! Borders: reads the settings file, starts one daemon of `transport` and turns
+//! signals into its shutdown.
 
+mod entry;
 mod settings_file;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use log::LevelFilter;
+use state::check::CheckProblem;
+use state::entry::EntrySettings;
 use state::settings::DaemonSettings;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use transport::{logging, runtime};
 
-/// PostgreSQL proxy with session consistency.
+/// Database proxy with session consistency.
 #[derive(FromArgs)]
 struct Arguments {
     /// settings file (TOML)
     #[argh(option)]
     settings: PathBuf,
+    /// serve managed groups: their members register themselves with the
+    /// platform, which also promotes them
+    #[argh(switch)]
+    managed: bool,
     /// check the settings file and exit
     #[argh(switch)]
     check: bool,
@@ -30,7 +37,19 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match settings_file::load(&arguments.settings) {
+    match arguments.managed {
+        true => start(&arguments, EntrySettings::parse, entry::run),
+        false => start(&arguments, DaemonSettings::parse, |settings, _| run(settings)),
+    }
+}
+
+/// Reads the settings, starts the log and runs a daemon.
+fn start<T>(
+    arguments: &Arguments,
+    parse: impl FnOnce(&str) -> Result<T, Vec<CheckProblem>>,
+    run: impl FnOnce(T, &Path) -> ExitCode,
+) -> ExitCode {
+    let settings = match settings_file::load(&arguments.settings, parse) {
         Ok(settings) => settings,
         Err(problems) => {
             for problem in problems {
@@ -47,7 +66,7 @@
         eprintln!("the log cannot be started: {error:?}");
         return ExitCode::FAILURE;
     }
-    run(settings)
+    run(settings, &arguments.settings)
 }
 
 #[tokio::main]
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod failover;
 pub mod lease;
 pub mod liveness;
+pub mod managed;
 pub mod membership;
 pub mod publish;
 pub mod rendezvous;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod member_control;
 pub mod peer;
 pub mod result_code;
+pub mod statement;
--- a/crates/protocol/src/result_code.rs
+++ b/crates/protocol/src/result_code.rs
@@ -41,17 +41,27 @@
     Unsupported = 1010,
     /// The request id was blocked by an outcome query.
     RequestBlocked = 1011,
+    /// No prepared statement has this name.
+    UnknownStatement = 1012,
+    /// The message or statement cannot be understood.
+    Malformed = 1013,
+    /// A write in a transaction that only reads.
+    ReadOnlyTransaction = 1014,
     /// The write was sent and its confirmation did not arrive.
     OutcomeUnknown = 2001,
     /// The transaction was lost with its connection before its commit was sent.
     TransactionLost = 2002,
+    /// A read was sent and not answered by its deadline.
+    ReadUnanswered = 2003,
     /// The request id had run before; the recorded outcome is returned.
     AlreadyRan = 3001,
+    /// The statement ran at a backend server and failed.
+    StatementFailed = 3002,
 }
 
 impl ResultCode {
     /// All codes, in order of their numbers.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 19] = [
         Self::QueueFull,
         Self::DeadlineTooShort,
         Self::NoFreshMember,
@@ -63,9 +73,14 @@
         Self::AuthenticationFailed,
         Self::Unsupported,
         Self::RequestBlocked,
+        Self::UnknownStatement,
+        Self::Malformed,
+        Self::ReadOnlyTransaction,
         Self::OutcomeUnknown,
         Self::TransactionLost,
+        Self::ReadUnanswered,
         Self::AlreadyRan,
+        Self::StatementFailed,
     ];
 
     /// Returns the number.
@@ -86,9 +101,14 @@
             Self::AuthenticationFailed => "28P01",
             Self::Unsupported => "0A000",
             Self::RequestBlocked => "55000",
+            Self::UnknownStatement => "26000",
+            Self::Malformed => "42601",
+            Self::ReadOnlyTransaction => "25006",
             Self::OutcomeUnknown => "08007",
             Self::TransactionLost => "40001",
+            Self::ReadUnanswered => "57014",
             Self::AlreadyRan => "00000",
+            Self::StatementFailed => "XX000",
         }
     }
 
@@ -96,7 +116,7 @@
     pub const fn outcome(self) -> RunOutcome {
         match self.number() {
             1001..=1999 | 2002 => RunOutcome::NotRun,
-            2001 => RunOutcome::Unknown,
+            2001 | 2003 => RunOutcome::Unknown,
             _ => RunOutcome::Ran,
         }
     }
@@ -119,11 +139,16 @@
             Self::RequestBlocked => {
                 "the request id was blocked by an outcome query; the statement was not run"
             }
+            Self::UnknownStatement => "no prepared statement has this name; it was not run",
+            Self::Malformed => "the message cannot be understood; it was not run",
+            Self::ReadOnlyTransaction => "the transaction only reads; the write was not run",
             Self::OutcomeUnknown => "the outcome of the write is unknown",
             Self::TransactionLost => {
                 "the transaction was lost with its connection; it did not commit"
             }
+            Self::ReadUnanswered => "the read was not answered by its deadline",
             Self::AlreadyRan => "the request id ran before; this is its recorded outcome",
+            Self::StatementFailed => "the statement ran and failed",
         }
     }
 }
--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -5,6 +5,7 @@
 //! reused.
 
 mod login;
+mod pooling;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -389,7 +390,7 @@
     BackendError::Lost("a higher term is known".to_owned())
 }
 
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod group_handle;
 pub mod host_watcher;
 pub mod logging;
+pub mod managed;
 pub mod membership_hub;
 pub mod metrics;
 pub mod monitor;
--- a/crates/transport/src/logging.rs
+++ b/crates/transport/src/logging.rs
@@ -1,12 +1,16 @@
 //! The log: one JSON object per line on standard output.
 //!
 //! Log lines carry the fields `request`, `session`, `group`, `term` and `code`
-//! as key-value pairs of the `log` crate where they are known.
+//! as key-value pairs of the `log` crate where they are known. A thread of its
+//! own writes the lines, so that a slow reader of the output blocks no request.
+
+mod queue;
 
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::json::JsonEncoder;
+
+pub use queue::dropped_lines;
+use queue::QueueAppender;
 
 /// Result of starting the log.
 pub type Result<T> = std::result::Result<T, LoggingError>;
@@ -25,10 +29,7 @@
 
 /// Starts the log of the process.
 pub fn start(level: LevelFilter) -> Result<()> {
-    let appender = ConsoleAppender::builder()
-        .target(Target::Stdout)
-        .encoder(Box::new(JsonEncoder::new()))
-        .build();
+    let appender = QueueAppender::start();
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
         .logger(log4rs::config::Logger::builder().build(RPC_TARGET, LevelFilter::Warn))
--- /dev/null
+++ b/crates/transport/src/managed/acceptor.rs
@@ -0,0 +1,52 @@
+//! Accepts callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use state::clock::MonotonicClock;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::codec::StatementCodec;
+use super::context::HostContext;
+use super::session::ManagedSession;
+
+/// Descriptors that are left to members, the store and the probes.
+const RESERVED_DESCRIPTORS: u64 = 300;
+/// Pause after the system refused a connection, for instance for lack of
+/// descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts callers until the returned future is dropped.
+pub(super) async fn accept_callers<K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    listener: TcpListener,
+) {
+    let limit = context.settings.descriptor_limit;
+    let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+    let sessions = context.sessions();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(reason = error.to_string().as_str(); "a caller was not accepted");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if *sessions.borrow() as u64 >= limit {
+            log::warn!(limit; "too many callers; the connection is closed");
+            continue;
+        }
+        if let Err(error) = stream.set_nodelay(true) {
+            log::warn!(reason = error.to_string().as_str(); "a caller's connection failed");
+            continue;
+        }
+        let session = ManagedSession::new(context.clone(), stream);
+        tokio::spawn(async move {
+            if let Err(error) = session.run().await {
+                log::debug!(reason = error.to_string().as_str(); "a caller's connection was lost");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/context.rs
@@ -0,0 +1,200 @@
+//! What the sessions and tasks of an entry host share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use coordination::retry::{RetryBudget, RetryPolicy};
+use slotmap::SlotMap;
+use state::clock::MonotonicClock;
+use state::entry::EntrySettings;
+use state::keys::CustomerKey;
+use state::plan::RoutePlan;
+use tokio::sync::watch;
+
+use super::codec::StatementCodec;
+use super::group_runtime::GroupRuntime;
+use super::metrics::EntryMetrics;
+
+/// Retries per request, beside [`RETRY_FLOOR_PER_S`]; the product's default.
+const RETRY_PERCENT: u64 = 10;
+/// Retries a second that are always allowed; the product's default.
+const RETRY_FLOOR_PER_S: u64 = 10;
+/// Age of the plan up to which a missing database is taken for unknown. It is
+/// the time within which operators expect a new version to be in force.
+const PLAN_FRESH: Duration = Duration::from_secs(3);
+
+/// Progress of the process from start to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ServicePhase {
+    /// Serves callers.
+    Serving,
+    /// Ends sessions that are idle and takes no new transactions after them.
+    Draining,
+    /// Ends everything.
+    Stopping,
+}
+
+/// The plan in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PlanInForce {
+    /// The plan; nothing before the first one was read.
+    pub(crate) plan: Option<Arc<RoutePlan>>,
+    /// Instant before which no newer plan was acknowledged.
+    pub(crate) confirmed_at: Option<Instant>,
+}
+
+/// Shared state of an entry host.
+#[derive(Debug)]
+pub(crate) struct HostContext<K: StatementCodec, C> {
+    pub(crate) settings: EntrySettings,
+    /// Data centres of the host's region.
+    pub(crate) region: Vec<String>,
+    pub(crate) clock: C,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) phase: watch::Sender<ServicePhase>,
+    plan: Mutex<PlanInForce>,
+    groups: Mutex<HashMap<String, Arc<GroupRuntime<K, C>>>>,
+    accounts: Mutex<AccountTable>,
+    retries: Mutex<RetryPolicy>,
+    sessions: watch::Sender<usize>,
+}
+
+#[derive(Debug, Default)]
+struct AccountTable {
+    keys: SlotMap<CustomerKey, ()>,
+    by_name: HashMap<String, CustomerKey>,
+}
+
+impl<K: StatementCodec, C: MonotonicClock> HostContext<K, C> {
+    pub(crate) fn new(settings: EntrySettings, clock: C) -> Arc<Self> {
+        let own = settings.region_of(&settings.data_centre);
+        let region = settings
+            .regions
+            .iter()
+            .filter(|(_, region)| *region == own)
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect();
+        let budget = RetryBudget::new(RETRY_PERCENT, RETRY_FLOOR_PER_S, Instant::now());
+        Arc::new(Self {
+            region,
+            clock,
+            metrics: EntryMetrics::default(),
+            phase: watch::Sender::new(ServicePhase::Serving),
+            plan: Mutex::default(),
+            groups: Mutex::default(),
+            accounts: Mutex::default(),
+            retries: Mutex::new(RetryPolicy::new(budget)),
+            sessions: watch::Sender::new(0),
+            settings,
+        })
+    }
+
+    /// Returns the plan in force.
+    pub(crate) fn plan(&self) -> Option<Arc<RoutePlan>> {
+        lock(&self.plan).plan.clone()
+    }
+
+    /// Tells whether the plan in force is the newest one but for a few seconds.
+    pub(crate) fn is_plan_fresh(&self) -> bool {
+        let confirmed_at = lock(&self.plan).confirmed_at;
+        confirmed_at.is_some_and(|instant| {
+            self.clock.now().saturating_duration_since(instant) < PLAN_FRESH
+        })
+    }
+
+    /// Enters a read of the plan that was asked at `asked_at`. A plan never
+    /// gives way to an older one.
+    pub(crate) fn observe_plan(&self, plan: Option<RoutePlan>, asked_at: Instant) {
+        let mut in_force = lock(&self.plan);
+        in_force.confirmed_at = in_force.confirmed_at.max(Some(asked_at));
+        let Some(plan) = plan else {
+            return;
+        };
+        let known = in_force.plan.as_ref().map(|plan| plan.version);
+        if known >= Some(plan.version) {
+            return;
+        }
+        let (version, routes) = (plan.version, plan.routes.len());
+        log::info!(version, routes, former = known.unwrap_or(0); "plan in force");
+        self.metrics.set_plan_version(version);
+        let plan = Arc::new(plan);
+        in_force.plan = Some(plan.clone());
+        drop(in_force);
+        for (name, group) in &plan.groups {
+            self.group(name).set_connection_limit(group.connection_limit);
+        }
+    }
+
+    /// Returns a group; creates it when it is new.
+    pub(crate) fn group(&self, name: &str) -> Arc<GroupRuntime<K, C>> {
+        let mut groups = lock(&self.groups);
+        if let Some(group) = groups.get(name) {
+            return group.clone();
+        }
+        let group = GroupRuntime::new(name, &self.settings.host, self.clock.clone());
+        groups.insert(name.to_owned(), group.clone());
+        group
+    }
+
+    /// Returns all groups.
+    pub(crate) fn groups(&self) -> Vec<Arc<GroupRuntime<K, C>>> {
+        lock(&self.groups).values().cloned().collect()
+    }
+
+    /// Returns the key under which the statements of a client account queue.
+    pub(crate) fn account(&self, name: &str) -> CustomerKey {
+        let mut accounts = lock(&self.accounts);
+        if let Some(key) = accounts.by_name.get(name) {
+            return *key;
+        }
+        let key = accounts.keys.insert(());
+        accounts.by_name.insert(name.to_owned(), key);
+        key
+    }
+
+    /// Returns the retry policy.
+    pub(crate) fn retries(&self) -> MutexGuard<'_, RetryPolicy> {
+        lock(&self.retries)
+    }
+
+    /// Tells whether new callers can be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows_members = || {
+            let groups = lock(&self.groups);
+            groups
+                .values()
+                .any(|group| group.with(|group| !group.members.is_empty()))
+        };
+        *self.phase.borrow() == ServicePhase::Serving && self.plan().is_some() && knows_members()
+    }
+
+    /// Counts a session until the guard is dropped.
+    pub(crate) fn enter_session(self: &Arc<Self>) -> SessionGuard<K, C> {
+        self.sessions.send_modify(|count| *count += 1);
+        SessionGuard {
+            context: self.clone(),
+        }
+    }
+
+    /// Returns a receiver of the number of open sessions.
+    pub(crate) fn sessions(&self) -> watch::Receiver<usize> {
+        self.sessions.subscribe()
+    }
+}
+
+/// Counts one session.
+#[derive(Debug)]
+pub(crate) struct SessionGuard<K: StatementCodec, C> {
+    context: Arc<HostContext<K, C>>,
+}
+
+impl<K: StatementCodec, C> Drop for SessionGuard<K, C> {
+    fn drop(&mut self) {
+        self.context.sessions.send_modify(|count| *count -= 1);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -0,0 +1,323 @@
+//! A managed group at run time: its state behind a lock, a pool per member, and
+//! a signal for those who wait for a change.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use coordination::admission::AdmissionSettings;
+use coordination::managed::group::{ListEvent, ManagedGroup, ReachFailure};
+use coordination::managed::reign::{ReignEvent, ReignRow};
+use protocol::statement::{MemberStatement, MemberStatus};
+use slotmap::SecondaryMap;
+use state::clock::MonotonicClock;
+use state::keys::MemberKey;
+use state::listing::ListedServer;
+use state::log::Term;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+
+use super::codec::StatementCodec;
+use super::link::{LinkAnswer, LinkError, LinkIdentity, MemberLink};
+use crate::pool::{AdmissionGate, MemberPool, PoolError};
+
+/// Queued statements per member, client account and class. Deadlines bound the
+/// queue first; this only limits memory.
+const QUEUE_LENGTH: usize = 256;
+/// Time of a statement that is assumed before the first one.
+const INITIAL_SERVICE: Duration = Duration::from_millis(20);
+/// Statements in flight per slot, all hosts together: one that runs and two
+/// that wait at the member, so that a slot never idles for a round trip.
+const IN_FLIGHT_PER_SLOT: u32 = 3;
+
+/// The pool of one member.
+pub(crate) type LinkPool<K> = Arc<MemberPool<MemberLink<K>>>;
+
+/// Why a question to a member has no answer.
+#[derive(Debug)]
+pub(crate) enum AskError {
+    /// No connection was free; nothing is known about the member.
+    NoConnection,
+    /// The member was not reached or did not answer.
+    Failed(LinkError),
+}
+
+/// A managed group.
+#[derive(Debug)]
+pub(crate) struct GroupRuntime<K: StatementCodec, C> {
+    pub(crate) name: String,
+    host: String,
+    clock: C,
+    state: Mutex<ManagedGroup>,
+    pools: Mutex<SecondaryMap<MemberKey, LinkPool<K>>>,
+    connection_limit: AtomicU32,
+    host_count: AtomicU32,
+    changed: watch::Sender<u64>,
+}
+
+impl<K: StatementCodec, C: MonotonicClock> GroupRuntime<K, C> {
+    pub(crate) fn new(name: &str, host: &str, clock: C) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            host: host.to_owned(),
+            clock,
+            state: Mutex::default(),
+            pools: Mutex::default(),
+            // Until the plan tells the limit, one connection per member.
+            connection_limit: AtomicU32::new(1),
+            host_count: AtomicU32::new(1),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    /// Runs `look` on the group's state.
+    pub(crate) fn with<R>(&self, look: impl FnOnce(&mut ManagedGroup) -> R) -> R {
+        look(&mut self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ManagedGroup> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver that sees every later change of the group.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    fn signal(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Enters the group's part of the list of backend servers.
+    pub(crate) fn apply_list(&self, servers: &[ListedServer], returned_at: Option<Instant>) {
+        let now = self.clock.now();
+        let events = self.with(|group| group.apply_list(servers, returned_at, now));
+        for event in &events {
+            let (change, member) = match event {
+                ListEvent::Added(id) => ("added", id),
+                ListEvent::Restarted(id) => ("restarted", id),
+                ListEvent::Removed(id) => ("removed", id),
+                ListEvent::Draining(id) => ("draining", id),
+            };
+            log::info!(group = self.name.as_str(), member = member.as_str(), change; "member list");
+        }
+        if !events.is_empty() {
+            self.drop_old_pools();
+            self.signal();
+        }
+    }
+
+    fn drop_old_pools(&self) {
+        let group = self.lock();
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.retain(|key, pool| {
+            let known = group.members.get(key);
+            known.is_some_and(|member| member.server.address == pool.address())
+        });
+    }
+
+    /// Enters a read of the group's row.
+    pub(crate) fn observe_row(&self, row: &ReignRow, revision: u64, asked_at: Instant) {
+        let now = self.clock.now();
+        let event = self.with(|group| group.observe_row(row, revision, asked_at, now));
+        self.report(event.as_ref(), revision);
+        self.signal();
+    }
+
+    /// Takes a successor into use that members showed.
+    pub(crate) fn adopt_successor(&self) {
+        let event = self.with(|group| group.adopt_successor(self.clock.now()));
+        if event.is_some() {
+            self.report(event.as_ref(), 0);
+            self.signal();
+        }
+    }
+
+    fn report(&self, event: Option<&ReignEvent>, revision: u64) {
+        let group = self.name.as_str();
+        match event {
+            Some(ReignEvent::Settled { primary, term }) => {
+                log::info!(group, member = primary.as_str(), term = term.0, revision; "primary");
+            }
+            Some(ReignEvent::Announced { host }) => {
+                log::info!(group, host = host.as_str(), revision; "change of primary announced");
+            }
+            None => {}
+        }
+    }
+
+    /// Wakes everyone who waits for a change.
+    pub(crate) fn wake(&self) {
+        self.signal();
+    }
+
+    /// Enters the connection limit of each member.
+    pub(crate) fn set_connection_limit(&self, limit: u32) {
+        self.connection_limit.store(limit, Ordering::Relaxed);
+        self.apply_limits();
+    }
+
+    /// Enters the number of live entry hosts.
+    pub(crate) fn set_host_count(&self, count: u32) {
+        self.host_count.store(count.max(1), Ordering::Relaxed);
+        self.apply_limits();
+    }
+
+    fn apply_limits(&self) {
+        let (share, hosts) = self.limits();
+        let group = self.lock();
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        for (key, pool) in &*pools {
+            pool.set_share(share);
+            if let Some(member) = group.members.get(key) {
+                let limit = in_flight_limit(member.server.slots, hosts);
+                pool.gate().set_in_flight_limit(limit);
+            }
+        }
+    }
+
+    fn limits(&self) -> (usize, u32) {
+        let limit = self.connection_limit.load(Ordering::Relaxed);
+        let hosts = self.host_count.load(Ordering::Relaxed);
+        ((limit / hosts).max(1) as usize, hosts)
+    }
+
+    /// Returns the pool of a member.
+    pub(crate) fn pool(&self, key: MemberKey) -> Option<LinkPool<K>> {
+        let group = self.lock();
+        let member = group.members.get(key)?;
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(key) {
+            return Some(pool.clone());
+        }
+        let (share, hosts) = self.limits();
+        let gate = AdmissionGate::new(AdmissionSettings {
+            in_flight_limit: in_flight_limit(member.server.slots, hosts),
+            queue_length: QUEUE_LENGTH,
+            initial_service: INITIAL_SERVICE,
+        });
+        let identity = LinkIdentity {
+            group: self.name.clone(),
+            member: member.server.id.clone(),
+            client: self.host.clone(),
+        };
+        let server = &member.server;
+        let pool = MemberPool::new(&server.id, server.address, identity, share, gate);
+        pools.insert(key, pool.clone());
+        Some(pool)
+    }
+
+    /// Enters that a member did not answer, and closes the connections that
+    /// have been silent for longer than the failed one.
+    pub(crate) fn note_failure(&self, key: MemberKey, error: &LinkError) {
+        let failure = match error {
+            LinkError::Connect(_) | LinkError::Lost(_) => ReachFailure::Refused,
+            LinkError::Refused(_) => ReachFailure::Replaced,
+            LinkError::TimedOut | LinkError::Protocol(_) => ReachFailure::Silent,
+        };
+        let now = self.clock.now();
+        let first = self.with(|group| {
+            group.note_failure(key, failure, now);
+            let member = group.members.get(key);
+            member.filter(|one| one.reach.failures == 1).map(|one| one.server.id.clone())
+        });
+        if let Some(member) = first {
+            let (group, reason) = (self.name.as_str(), error.to_string());
+            log::warn!(group, member = member.as_str(), reason = reason.as_str(); "member lost");
+        }
+        let pool = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pool.get(key) {
+            pool.close_idle_before(Instant::now());
+        }
+    }
+
+    /// Enters an answer of a member.
+    pub(crate) fn note_answer(&self, key: MemberKey, answer: &LinkAnswer, asked_at: Instant) {
+        let now = self.clock.now();
+        let regained = self.with(|group| {
+            let failing = group.members.get(key).filter(|one| one.reach.failures > 0);
+            let regained = failing.map(|one| one.server.id.clone());
+            group.note_answer(key, answer.position, asked_at, now);
+            regained
+        });
+        if let Some(member) = regained {
+            log::info!(group = self.name.as_str(), member = member.as_str(); "member regained");
+            self.signal();
+        }
+    }
+
+    /// Asks a member for its status.
+    pub(crate) async fn ask_status(
+        &self,
+        key: MemberKey,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        self.ask(key, &MemberStatement::Status, max_wait).await
+    }
+
+    /// Makes a member a replica if it leads a term below `term`.
+    pub(crate) async fn step_down(
+        &self,
+        key: MemberKey,
+        term: Term,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        let statement = MemberStatement::StepDown { term };
+        self.ask(key, &statement, max_wait).await
+    }
+
+    async fn ask(
+        &self,
+        key: MemberKey,
+        statement: &MemberStatement<'_>,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        let deadline = Instant::now() + max_wait;
+        let pool = self.pool(key).ok_or(AskError::NoConnection)?;
+        let mut link = match pool.check_out(deadline).await {
+            Ok(link) => link,
+            Err(PoolError::Exhausted) => return Err(AskError::NoConnection),
+            Err(PoolError::Connect(error)) => {
+                self.note_failure(key, &error);
+                return Err(AskError::Failed(error));
+            }
+        };
+        let asked_at = self.clock.now();
+        let answer = match link.ask(statement, deadline).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.note_failure(key, &error);
+                return Err(AskError::Failed(error));
+            }
+        };
+        self.note_answer(key, &answer, asked_at);
+        let row = answer.rows.first().filter(|_| answer.outcome.is_ok());
+        let status = row.map(|row| K::parse_status(row));
+        match status {
+            Some(Ok(status)) => Ok(status),
+            Some(Err(error)) => Err(AskError::Failed(LinkError::Protocol(error.to_string()))),
+            // A member whose slots are all taken answers so, too.
+            None => Err(AskError::NoConnection),
+        }
+    }
+
+    /// Waits until the primary is assured for `instant`; returns whether it is
+    /// by the deadline.
+    pub(crate) async fn await_assurance(&self, instant: Instant, deadline: Instant) -> bool {
+        let mut changes = self.subscribe();
+        loop {
+            if self.with(|group| group.reign.is_assured(instant)) {
+                return true;
+            }
+            match timeout_at(deadline.into(), changes.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return false,
+            }
+        }
+    }
+}
+
+/// Statements of one host in flight at a member.
+fn in_flight_limit(slots: u32, hosts: u32) -> usize {
+    (slots * IN_FLIGHT_PER_SLOT).div_ceil(hosts.max(1)).max(1) as usize
+}
--- /dev/null
+++ b/crates/transport/src/managed/metrics.rs
@@ -0,0 +1,116 @@
+//! What an entry host in front of managed groups counts.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+use crate::metrics::DaemonMetrics;
+
+/// Upper limits of the latency buckets in seconds: around the latency targets
+/// (0.4 to 0.8 s) and the statement timeouts (1 to 2 s).
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.0, 2.0, 5.0];
+
+/// The metrics of an entry host.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    base: DaemonMetrics,
+    statement_seconds: HistogramVec,
+    results: IntCounterVec,
+    member_answers: IntCounterVec,
+    plan_version: IntGauge,
+    store_failures: IntCounterVec,
+    dropped_lines: IntCounter,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::register().expect("names and labels of the metrics are valid and unique")
+    }
+}
+
+impl EntryMetrics {
+    fn register() -> prometheus::Result<Self> {
+        let metrics = Self {
+            base: DaemonMetrics::new(),
+            statement_seconds: HistogramVec::new(
+                HistogramOpts::new(
+                    "cassia_entry_statement_seconds",
+                    "Time from a statement's arrival to its answer.",
+                )
+                .buckets(LATENCY_BUCKETS.to_vec()),
+                &["database", "freshness"],
+            )?,
+            results: IntCounterVec::new(
+                Opts::new("cassia_entry_results_total", "Statements by result code."),
+                &["code"],
+            )?,
+            member_answers: IntCounterVec::new(
+                Opts::new("cassia_entry_member_answers_total", "Answers of members."),
+                &["member", "outcome"],
+            )?,
+            plan_version: IntGauge::new("cassia_entry_plan_version", "Version of the plan.")?,
+            store_failures: IntCounterVec::new(
+                Opts::new("cassia_entry_store_failures_total", "Failed calls of the store."),
+                &["call"],
+            )?,
+            dropped_lines: IntCounter::new(
+                "cassia_log_lines_dropped_total",
+                "Log lines that were dropped to bound the volume.",
+            )?,
+        };
+        metrics.register_all(metrics.base.registry())?;
+        Ok(metrics)
+    }
+
+    fn register_all(&self, registry: &Registry) -> prometheus::Result<()> {
+        registry.register(Box::new(self.statement_seconds.clone()))?;
+        registry.register(Box::new(self.results.clone()))?;
+        registry.register(Box::new(self.member_answers.clone()))?;
+        registry.register(Box::new(self.plan_version.clone()))?;
+        registry.register(Box::new(self.store_failures.clone()))?;
+        registry.register(Box::new(self.dropped_lines.clone()))
+    }
+
+    /// Renders all metrics in the text format.
+    pub(crate) fn render(&self) -> String {
+        let dropped = crate::logging::dropped_lines();
+        self.dropped_lines
+            .inc_by(dropped.saturating_sub(self.dropped_lines.get()));
+        self.base.render()
+    }
+
+    /// Counts a statement. `code` is 0 for a success.
+    pub(crate) fn count_statement(
+        &self,
+        database: &str,
+        freshness: &str,
+        code: u16,
+        elapsed: Duration,
+    ) {
+        self.statement_seconds
+            .with_label_values(&[database, freshness])
+            .observe(elapsed.as_secs_f64());
+        let code = code.to_string();
+        self.results.with_label_values(&[code.as_str()]).inc();
+    }
+
+    /// Counts an answer of a member.
+    pub(crate) fn count_member(&self, member: &str, outcome: &str) {
+        self.member_answers
+            .with_label_values(&[member, outcome])
+            .inc();
+    }
+
+    /// Counts a failed call of the store.
+    pub(crate) fn count_store_failure(&self, call: &str) {
+        self.store_failures.with_label_values(&[call]).inc();
+    }
+
+    /// Shows the version of the plan in force.
+    pub(crate) fn set_plan_version(&self, version: u64) {
+        self.plan_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/plan_follower.rs
@@ -0,0 +1,64 @@
+//! Follows the operators' routes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use state::clock::MonotonicClock;
+use tokio::time::sleep;
+
+use super::codec::StatementCodec;
+use super::context::HostContext;
+use super::seam::{HostPlatform, PlanReading, Result};
+
+/// Longest wait of one long poll. A connection that went silent delays a new
+/// version by no more than this and the slack of the client, within the 3 s
+/// that operators allow.
+const POLL_WAIT: Duration = Duration::from_millis(1_800);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the plan until the returned future is dropped.
+pub(super) async fn follow_plan<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    platform: P,
+) {
+    let mut known_revision = None;
+    let mut failing = false;
+    loop {
+        let asked_at = context.clock.now();
+        match next_reading(&platform, known_revision).await {
+            Ok(Some(reading)) => {
+                if std::mem::take(&mut failing) {
+                    log::info!(revision = reading.revision; "plan can be read again");
+                }
+                let has_plan = reading.plan.is_some() || context.plan().is_some();
+                known_revision = has_plan.then_some(reading.revision);
+                context.observe_plan(reading.plan, asked_at);
+                if !has_plan {
+                    sleep(FAILURE_PAUSE).await;
+                }
+            }
+            Ok(None) => {
+                log::info!("the store's history was cut; reading the whole plan");
+                known_revision = None;
+            }
+            Err(error) => {
+                context.metrics.count_store_failure("plan");
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(reason = error.to_string().as_str(); "plan cannot be read");
+                }
+                sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn next_reading<P: HostPlatform>(
+    platform: &P,
+    known_revision: Option<u64>,
+) -> Result<Option<PlanReading>> {
+    match known_revision {
+        Some(revision) => platform.await_plan(revision, POLL_WAIT).await,
+        None => platform.read_plan().await.map(Some),
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/runtime.rs
@@ -0,0 +1,159 @@
+//! Assembles an entry host in front of managed groups.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::routing::get;
+use axum::Router;
+use state::clock::{MonotonicClock, SuspendClock};
+use state::entry::EntrySettings;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::acceptor::accept_callers;
+use super::change_driver::ChangeDriver;
+use super::codec::StatementCodec;
+use super::context::{HostContext, ServicePhase};
+use super::group_watch::watch_group;
+use super::plan_follower::follow_plan;
+use super::seam::HostPlatform;
+use super::store_follower::{follow_hosts, follow_list, follow_reigns};
+
+/// Interval at which new groups get their watch.
+const GROUP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time before the process is killed at which it exits by itself.
+const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// Time for which the platform may still send new callers to a host that says
+/// it is not ready: two probes, a second apart, and their timeout.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_500);
+
+/// Result of starting a host.
+pub type Result<T> = std::result::Result<T, StartError>;
+
+/// Why a host cannot start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: std::io::Error,
+    },
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Listen { address, error } => {
+                write!(formatter, "cannot listen on {address}: {error}")
+            }
+        }
+    }
+}
+
+/// A running host.
+#[derive(Debug)]
+pub struct EntryHost<K: StatementCodec> {
+    context: Arc<HostContext<K, SuspendClock>>,
+    tasks: JoinSet<()>,
+}
+
+impl<K: StatementCodec> EntryHost<K> {
+    /// Starts a host.
+    pub async fn start<P: HostPlatform>(settings: EntrySettings, platform: P) -> Result<Self> {
+        let callers = listen(settings.caller_address).await?;
+        let metrics = listen(settings.metrics_address).await?;
+        let clock = SuspendClock;
+        let context = HostContext::<K, _>::new(settings, clock);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow_plan(context.clone(), platform.clone()));
+        tasks.spawn(follow_reigns(context.clone(), platform.clone()));
+        tasks.spawn(follow_list(context.clone(), platform.clone()));
+        tasks.spawn(follow_hosts(context.clone(), platform.clone()));
+        tasks.spawn(watch_groups(context.clone(), platform));
+        tasks.spawn(serve_metrics(context.clone(), metrics));
+        tasks.spawn(accept_callers(context.clone(), callers));
+        Ok(Self { context, tasks })
+    }
+
+    /// Returns a test of whether new callers can be served.
+    pub fn readiness(&self) -> impl Fn() -> bool + Clone + Send + Sync + 'static {
+        let context = self.context.clone();
+        move || context.is_ready()
+    }
+
+    /// Waits until a task of the host ends, which none does by itself.
+    pub async fn wait(&mut self) {
+        if let Some(Err(error)) = self.tasks.join_next().await {
+            log::error!(reason = error.to_string().as_str(); "a task of the host has failed");
+        }
+    }
+
+    /// Stops serving: sessions end when they are idle, open transactions get
+    /// half of the grace, and all is over before the grace ends.
+    pub async fn shut_down(mut self) {
+        let grace = Duration::from_secs_f64(self.context.settings.grace_s);
+        let started = Instant::now();
+        log::info!(sessions = *self.context.sessions().borrow(); "draining");
+        self.context.phase.send_replace(ServicePhase::Draining);
+        self.await_sessions(started + grace / 2).await;
+        self.context.phase.send_replace(ServicePhase::Stopping);
+        self.await_sessions((started + grace).checked_sub(EXIT_RESERVE).unwrap_or(started))
+            .await;
+        log::info!(sessions = *self.context.sessions().borrow(); "stopped");
+        self.tasks.shutdown().await;
+    }
+
+    /// Waits until no session is open and none can come, at most until the
+    /// deadline.
+    async fn await_sessions(&self, deadline: Instant) {
+        let mut sessions = self.context.sessions();
+        let all_ended = async {
+            sleep(LEAVE_ROTATION.min(deadline.saturating_duration_since(Instant::now()))).await;
+            // The sender lives as long as the context.
+            let _ended = sessions.wait_for(|count| *count == 0).await;
+        };
+        // The deadline is the other regular end of the wait.
+        let _in_time = tokio::time::timeout_at(deadline.into(), all_ended).await;
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Listen { address, error })
+}
+
+/// Starts a watch for each group until the returned future is dropped.
+async fn watch_groups<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    platform: P,
+) {
+    let clock = context.clock.clone();
+    let driver = ChangeDriver::new(platform, &context.settings.host, clock.clone());
+    let mut watched = HashSet::new();
+    let mut watches = JoinSet::new();
+    loop {
+        for group in context.groups() {
+            if watched.insert(group.name.clone()) {
+                watches.spawn(watch_group(group, clock.clone(), driver.clone()));
+            }
+        }
+        sleep(GROUP_INTERVAL).await;
+    }
+}
+
+async fn serve_metrics<K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    listener: TcpListener,
+) {
+    let render = move || std::future::ready(context.metrics.render());
+    let router = Router::new().route("/metrics", get(render));
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("the metrics endpoint has ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/session.rs
@@ -0,0 +1,679 @@
+//! The session of one caller of managed groups.
+//!
+//! A session owns the caller's socket, its values, its prepared statements and
+//! its open transaction. It holds a connection to a member only inside a
+//! transaction, from its first statement on.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::Result as IoResult;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use protocol::result_code::ResultCode;
+use protocol::statement::{
+    CallerMessage, CallerStatement, MemberRefusal, PreparedShape, StatementAccess,
+    TransactionState,
+};
+use state::clock::MonotonicClock;
+use state::keys::MemberKey;
+use state::log::LogPosition;
+use state::plan::AccessRoute;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until};
+
+use super::codec::{CodecError, StatementCodec};
+use super::context::{HostContext, ServicePhase, SessionGuard};
+use super::group_runtime::GroupRuntime;
+use super::link::{LinkAnswer, LinkSetup, MemberLink};
+use super::statement::{
+    ask, refusal_name, InFlight, Result, StatementBody, StatementFailure, StatementOrder,
+    StatementRunner, TransactionStart,
+};
+use crate::pool::PooledConnection;
+
+/// Space reserved for one read from the socket.
+const READ_BYTES: usize = 4 << 10;
+/// Longest wait for the greeting of a new connection.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause before a statement that a busy member refused is sent again on the
+/// connection of its transaction.
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Idle time that a session of a draining host gets for its next statement.
+const DRAIN_PATIENCE: Duration = Duration::from_millis(200);
+
+/// A transaction of the caller.
+#[derive(Debug)]
+struct OpenTransaction<K: StatementCodec, C> {
+    route: AccessRoute,
+    group: Arc<GroupRuntime<K, C>>,
+    read_only: bool,
+    began_at: Instant,
+    /// The connection, from the first statement on.
+    link: Option<(MemberKey, PooledConnection<MemberLink<K>>)>,
+    wrote: bool,
+    state: TransactionHealth,
+}
+
+/// Whether a transaction can go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum TransactionHealth {
+    Good,
+    /// It ended by itself, and the caller does not know yet.
+    Lost(&'static str),
+    /// The caller knows that it failed.
+    Failed,
+}
+
+/// What is known of the caller's message.
+enum Received {
+    Message(CallerMessage),
+    /// The caller has gone, or the session must end.
+    End,
+    /// The transaction was idle for too long.
+    TransactionIdle,
+}
+
+/// A session.
+pub(super) struct ManagedSession<K: StatementCodec, C> {
+    context: Arc<HostContext<K, C>>,
+    phase: watch::Receiver<ServicePhase>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    database: String,
+    values: BTreeMap<String, String>,
+    prepared: HashMap<String, PreparedShape>,
+    own_position: Option<LogPosition>,
+    transaction: Option<OpenTransaction<K, C>>,
+    _guard: SessionGuard<K, C>,
+}
+
+impl<K: StatementCodec, C: MonotonicClock> ManagedSession<K, C> {
+    pub(super) fn new(context: Arc<HostContext<K, C>>, stream: TcpStream) -> Self {
+        Self {
+            phase: context.phase.subscribe(),
+            _guard: context.enter_session(),
+            context,
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            database: String::new(),
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            own_position: None,
+            transaction: None,
+        }
+    }
+
+    /// Serves the caller until it leaves or the host stops.
+    pub(super) async fn run(mut self) -> IoResult<()> {
+        if !self.greet().await? {
+            return Ok(());
+        }
+        loop {
+            match self.receive().await? {
+                Received::Message(CallerMessage::Statement { id, statement }) => {
+                    self.serve(&id, statement).await?;
+                }
+                Received::Message(CallerMessage::Quit) | Received::End => return Ok(()),
+                Received::Message(CallerMessage::Connect { .. }) => {
+                    return self.end_malformed("a second greeting").await;
+                }
+                Received::Message(CallerMessage::Malformed { reason }) => {
+                    return self.end_malformed(&reason).await;
+                }
+                Received::TransactionIdle => self.end_idle_transaction(),
+            }
+        }
+    }
+
+    async fn greet(&mut self) -> IoResult<bool> {
+        let greeting = tokio::time::timeout(GREETING_TIMEOUT, self.receive()).await;
+        match greeting {
+            Ok(received) => match received? {
+                Received::Message(CallerMessage::Connect { database }) => {
+                    self.open(database).await
+                }
+                Received::Message(CallerMessage::Malformed { reason }) => {
+                    self.end_malformed(&reason).await?;
+                    Ok(false)
+                }
+                Received::Message(CallerMessage::Statement { .. }) => {
+                    self.end_malformed("a statement before the greeting").await?;
+                    Ok(false)
+                }
+                Received::Message(CallerMessage::Quit)
+                | Received::End
+                | Received::TransactionIdle => Ok(false),
+            },
+            Err(_) => Ok(false),
+        }
+    }
+
+    async fn open(&mut self, database: String) -> IoResult<bool> {
+        if let Err(failure) = self.find_route(&database) {
+            log::info!(
+                database = database.as_str(),
+                code = failure.code.number(),
+                plan = self.plan_version();
+                "session refused"
+            );
+            K::put_error(&mut self.output, failure.code, &failure.detail);
+            self.flush().await?;
+            return Ok(false);
+        }
+        self.database = database;
+        K::put_ready(&mut self.output, TransactionState::Idle);
+        self.flush().await?;
+        Ok(true)
+    }
+
+    fn plan_version(&self) -> u64 {
+        self.context.plan().map_or(0, |plan| plan.version)
+    }
+
+    fn find_route(&self, database: &str) -> Result<AccessRoute> {
+        let plan = self.context.plan();
+        if let Some(route) = plan.as_ref().and_then(|plan| plan.route(database)) {
+            return Ok(route.clone());
+        }
+        if plan.is_some() && self.context.is_plan_fresh() {
+            return Err(StatementFailure::new(ResultCode::UnknownGroup, database));
+        }
+        let detail = "the routes may have changed; retry in 500 ms";
+        Err(StatementFailure::new(ResultCode::NoPrimary, detail))
+    }
+
+    /// Waits for the caller's next message.
+    async fn receive(&mut self) -> IoResult<Received> {
+        loop {
+            match K::take_caller_message(&mut self.input) {
+                Ok(Some(message)) => return Ok(Received::Message(message)),
+                Ok(None) => {}
+                Err(error) => {
+                    let code = match error {
+                        CodecError::TooLarge => ResultCode::Unsupported,
+                        CodecError::Malformed(_) => ResultCode::Malformed,
+                    };
+                    K::put_error(&mut self.output, code, &error.to_string());
+                    self.flush().await?;
+                    return Ok(Received::End);
+                }
+            }
+            let transaction_end = self.transaction_end();
+            let in_transaction = self.transaction.is_some();
+            let is_partial = !self.input.is_empty();
+            self.input.reserve(READ_BYTES);
+            tokio::select! {
+                received = self.stream.read_buf(&mut self.input) => {
+                    if received? == 0 {
+                        return Ok(Received::End);
+                    }
+                }
+                () = stop_signal(&mut self.phase, in_transaction || is_partial) => {
+                    return Ok(Received::End);
+                }
+                () = sleep_until(transaction_end.unwrap_or_else(Instant::now).into()),
+                    if transaction_end.is_some() =>
+                {
+                    return Ok(Received::TransactionIdle);
+                }
+            }
+        }
+    }
+
+    /// Returns when the open transaction has been idle for too long.
+    fn transaction_end(&self) -> Option<Instant> {
+        let transaction = self.transaction.as_ref()?;
+        transaction.link.as_ref()?;
+        let idle = self.context.plan()?.transaction_idle;
+        Some(Instant::now() + idle)
+    }
+
+    fn end_idle_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.link = None;
+            transaction.state = TransactionHealth::Lost("the transaction was idle for too long");
+        }
+    }
+
+    async fn end_malformed(&mut self, reason: &str) -> IoResult<()> {
+        log::info!(database = self.database.as_str(), reason; "malformed message");
+        K::put_error(&mut self.output, ResultCode::Malformed, reason);
+        self.flush().await
+    }
+
+    async fn flush(&mut self) -> IoResult<()> {
+        self.stream.write_all_buf(&mut self.output).await
+    }
+
+    async fn serve(&mut self, id: &str, statement: CallerStatement) -> IoResult<()> {
+        let started = Instant::now();
+        // Local statements decide nothing and are not logged.
+        let is_forwarded = matches!(
+            statement,
+            CallerStatement::Direct { .. }
+                | CallerStatement::Execute { .. }
+                | CallerStatement::Commit
+        );
+        let done = self.execute(id, statement).await;
+        if is_forwarded || done.is_err() {
+            self.report(id, &done, started.elapsed());
+        }
+        match done {
+            Ok(Some(answer)) => {
+                for row in &answer.rows {
+                    K::put_row(&mut self.output, row);
+                }
+                let signature = answer.outcome.as_deref().unwrap_or_default();
+                K::put_complete(&mut self.output, Some(signature));
+            }
+            Ok(None) => K::put_complete(&mut self.output, None),
+            Err(failure) => K::put_error(&mut self.output, failure.code, &failure.detail),
+        }
+        let state = self.state();
+        K::put_ready(&mut self.output, state);
+        self.flush().await
+    }
+
+    fn report(&self, id: &str, done: &Result<Option<LinkAnswer>>, elapsed: Duration) {
+        let code = done.as_ref().err().map_or(0, |failure| failure.code.number());
+        let reason = done.as_ref().err().map_or("", |failure| failure.detail.as_str());
+        let plan = self.context.plan();
+        let route = plan.as_ref().and_then(|plan| plan.route(&self.database));
+        let freshness = route.map_or("none", |route| route.freshness.name());
+        let elapsed_ms = elapsed.as_millis() as u64;
+        log::info!(
+            request = id,
+            database = self.database.as_str(),
+            freshness,
+            plan = plan.as_ref().map_or(0, |plan| plan.version),
+            elapsed_ms,
+            code,
+            reason;
+            "statement answered"
+        );
+        let metrics = &self.context.metrics;
+        metrics.count_statement(&self.database, freshness, code, elapsed);
+    }
+
+    fn state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(transaction) if transaction.state == TransactionHealth::Good => {
+                TransactionState::Open
+            }
+            Some(_) => TransactionState::Failed,
+        }
+    }
+
+    /// Executes a statement. Statements that the proxy answers itself have no
+    /// answer of a member.
+    async fn execute(&mut self, id: &str, statement: CallerStatement) -> Result<Option<LinkAnswer>> {
+        if let Some(transaction) = &mut self.transaction {
+            let is_end = matches!(statement, CallerStatement::Commit | CallerStatement::Rollback);
+            match &transaction.state {
+                TransactionHealth::Failed if !is_end => {
+                    return fail(ResultCode::Malformed, "the transaction has failed");
+                }
+                TransactionHealth::Lost(reason) if !is_end => {
+                    let reason = *reason;
+                    transaction.state = TransactionHealth::Failed;
+                    return fail(ResultCode::TransactionLost, reason);
+                }
+                _ => {}
+            }
+        }
+        match statement {
+            CallerStatement::Begin { read_only } => self.begin(read_only),
+            CallerStatement::Commit => self.commit(id).await.map(Some),
+            CallerStatement::Rollback => {
+                // Dropping the connection rolls it back before its next use.
+                self.transaction = None;
+                Ok(None)
+            }
+            CallerStatement::Direct { access, text } => {
+                self.forward(id, access, StatementBody::Text(&text)).await
+            }
+            CallerStatement::Execute { name, arguments } => {
+                let Some(shape) = self.prepared.get(&name).cloned() else {
+                    return fail(ResultCode::UnknownStatement, &name);
+                };
+                let body = StatementBody::Execute {
+                    shape: &shape,
+                    arguments: &arguments,
+                };
+                self.forward(id, shape.access, body).await
+            }
+            CallerStatement::Set { name, value } => {
+                self.values.insert(name, value);
+                Ok(None)
+            }
+            CallerStatement::Prepare { name, shape } => {
+                self.prepared.insert(name, shape);
+                Ok(None)
+            }
+            CallerStatement::Deallocate { name } => match self.prepared.remove(&name) {
+                Some(_) => Ok(None),
+                None => fail(ResultCode::UnknownStatement, &name),
+            },
+            CallerStatement::Malformed { reason } => fail(ResultCode::Malformed, &reason),
+        }
+    }
+
+    /// Opens a transaction. The member is chosen at its first statement.
+    fn begin(&mut self, read_only: bool) -> Result<Option<LinkAnswer>> {
+        if self.transaction.is_some() {
+            return fail(ResultCode::Malformed, "a transaction is open already");
+        }
+        let route = self.find_route(&self.database)?;
+        let group = self.context.group(&route.group);
+        self.transaction = Some(OpenTransaction {
+            route,
+            group,
+            read_only,
+            began_at: self.context.clock.now(),
+            link: None,
+            wrote: false,
+            state: TransactionHealth::Good,
+        });
+        Ok(None)
+    }
+
+    async fn forward(
+        &mut self,
+        id: &str,
+        access: StatementAccess,
+        body: StatementBody<'_>,
+    ) -> Result<Option<LinkAnswer>> {
+        if self.transaction.is_none() {
+            return self.run_single(id, access, body).await.map(Some);
+        }
+        match self.run_in_transaction(id, access, body).await {
+            Ok(answer) => Ok(Some(answer)),
+            Err(failure) => {
+                if let Some(transaction) = &mut self.transaction {
+                    transaction.link = None;
+                    transaction.state = TransactionHealth::Failed;
+                }
+                Err(failure)
+            }
+        }
+    }
+
+    async fn run_single(
+        &mut self,
+        id: &str,
+        access: StatementAccess,
+        body: StatementBody<'_>,
+    ) -> Result<LinkAnswer> {
+        let route = self.find_route(&self.database)?;
+        let group = self.context.group(&route.group);
+        let order = StatementOrder {
+            id,
+            body,
+            access,
+            route: &route,
+            start: None,
+            began_at: self.context.clock.now(),
+            deadline: Instant::now() + route.statement_timeout,
+            values: &self.values,
+            own_position: self.own_position,
+        };
+        let runner = StatementRunner {
+            context: &self.context,
+            group: &group,
+            order: &order,
+        };
+        let placed = runner.run().await?;
+        if access == StatementAccess::Write {
+            self.own_position = placed.answer.position.or(self.own_position);
+        }
+        log_placed(id, &group, placed.member, &placed.answer, placed.attempts);
+        Ok(placed.answer)
+    }
+
+    async fn run_in_transaction(
+        &mut self,
+        id: &str,
+        access: StatementAccess,
+        body: StatementBody<'_>,
+    ) -> Result<LinkAnswer> {
+        let Some(transaction) = &mut self.transaction else {
+            return fail(ResultCode::Malformed, "no transaction is open");
+        };
+        if transaction.read_only && access == StatementAccess::Write {
+            return fail(ResultCode::ReadOnlyTransaction, "");
+        }
+        let deadline = Instant::now() + transaction.route.statement_timeout;
+        let answer = match &mut transaction.link {
+            Some((member, link)) => {
+                let setup = LinkSetup {
+                    values: &self.values,
+                    shape: match body {
+                        StatementBody::Execute { shape, .. } => Some(shape),
+                        StatementBody::Text(_) | StatementBody::Commit => None,
+                    },
+                    begin: None,
+                };
+                let _in_flight = InFlight::enter(&transaction.group, *member);
+                let answer = continue_transaction(link, &setup, id, body, deadline).await?;
+                let member_name = link.pool().name();
+                self.context.metrics.count_member(member_name, refusal_name(&answer));
+                answer
+            }
+            None => {
+                let order = StatementOrder {
+                    id,
+                    body,
+                    access,
+                    route: &transaction.route,
+                    start: Some(TransactionStart {
+                        read_only: transaction.read_only,
+                    }),
+                    began_at: transaction.began_at,
+                    deadline,
+                    values: &self.values,
+                    own_position: self.own_position,
+                };
+                let runner = StatementRunner {
+                    context: &self.context,
+                    group: &transaction.group,
+                    order: &order,
+                };
+                let placed = runner.run().await?;
+                let (group, attempts) = (&transaction.group, placed.attempts);
+                log_placed(id, group, placed.member, &placed.answer, attempts);
+                transaction.link = Some((placed.member, placed.link));
+                placed.answer
+            }
+        };
+        transaction.wrote |= access == StatementAccess::Write;
+        Ok(answer)
+    }
+
+    async fn commit(&mut self, id: &str) -> Result<LinkAnswer> {
+        let health = self.transaction.as_ref().map(|one| one.state.clone());
+        match health {
+            None => return fail(ResultCode::Malformed, "no transaction is open"),
+            Some(TransactionHealth::Good) => {}
+            Some(TransactionHealth::Lost(reason)) => {
+                self.transaction = None;
+                return fail(ResultCode::TransactionLost, reason);
+            }
+            Some(TransactionHealth::Failed) => {
+                self.transaction = None;
+                return fail(ResultCode::TransactionLost, "the transaction has failed");
+            }
+        }
+        let began = self.transaction.as_ref().is_some_and(|one| one.link.is_some());
+        if !began {
+            // An empty transaction is begun and committed in one.
+            let answer = self
+                .run_in_transaction(id, StatementAccess::Read, StatementBody::Commit)
+                .await;
+            self.transaction = None;
+            return answer;
+        }
+        let Some(transaction) = self.transaction.take() else {
+            return fail(ResultCode::Malformed, "no transaction is open");
+        };
+        let answer = self.commit_begun(id, transaction).await?;
+        Ok(answer)
+    }
+
+    async fn commit_begun(
+        &mut self,
+        id: &str,
+        mut transaction: OpenTransaction<K, C>,
+    ) -> Result<LinkAnswer> {
+        let Some((member, mut link)) = transaction.link.take() else {
+            return fail(ResultCode::TransactionLost, "the connection was lost");
+        };
+        let wrote = transaction.wrote;
+        let deadline = Instant::now() + transaction.route.statement_timeout;
+        let lost = |detail: &str| {
+            let code = match wrote {
+                true => ResultCode::OutcomeUnknown,
+                false => ResultCode::TransactionLost,
+            };
+            StatementFailure::new(code, detail)
+        };
+        let _in_flight = InFlight::enter(&transaction.group, member);
+        loop {
+            let asked_at = self.context.clock.now();
+            let answer = match ask(&mut link, id, None, StatementBody::Commit, deadline).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    transaction.group.note_failure(member, &error);
+                    return Err(lost(&error.to_string()));
+                }
+            };
+            self.context
+                .metrics
+                .count_member(link.pool().name(), refusal_name(&answer));
+            match &answer.outcome {
+                Ok(_) => {
+                    transaction.group.note_answer(member, &answer, asked_at);
+                    if wrote {
+                        let instant = self.context.clock.now();
+                        if !transaction.group.await_assurance(instant, deadline).await {
+                            return Err(lost("the primary could not be assured"));
+                        }
+                        self.own_position = answer.position.or(self.own_position);
+                    }
+                    log_placed(id, &transaction.group, member, &answer, 1);
+                    return Ok(answer);
+                }
+                Err((MemberRefusal::Busy, _)) if Instant::now() + BUSY_PAUSE < deadline => {
+                    sleep(BUSY_PAUSE).await;
+                }
+                Err((refusal, text)) => {
+                    let detail = format!("member answered {}: {text}", refusal.name());
+                    if refusal.is_not_run() || *refusal == MemberRefusal::Aborted {
+                        return fail(ResultCode::TransactionLost, &detail);
+                    }
+                    return Err(lost(&detail));
+                }
+            }
+        }
+    }
+}
+
+/// Sends a further statement of a transaction on its connection.
+async fn continue_transaction<K: StatementCodec>(
+    link: &mut PooledConnection<MemberLink<K>>,
+    setup: &LinkSetup<'_>,
+    id: &str,
+    body: StatementBody<'_>,
+    deadline: Instant,
+) -> Result<LinkAnswer> {
+    let lost = |detail: &str| StatementFailure::new(ResultCode::TransactionLost, detail);
+    if !link.can_hold(setup) {
+        return Err(lost("session values were forgotten inside a transaction"));
+    }
+    let prepared = link.prepare(setup, deadline).await;
+    match prepared {
+        Ok(None) => {}
+        Ok(Some(refusal)) => return Err(lost(refusal.name())),
+        Err(error) => return Err(lost(&error.to_string())),
+    }
+    loop {
+        let answer = ask(link, id, None, body, deadline).await;
+        let answer = answer.map_err(|error| lost(&error.to_string()))?;
+        match &answer.outcome {
+            Ok(_) => return Ok(answer),
+            Err((MemberRefusal::Busy, _))
+                if link.state() == TransactionState::Open
+                    && Instant::now() + BUSY_PAUSE < deadline =>
+            {
+                sleep(BUSY_PAUSE).await;
+            }
+            Err((refusal, text)) => {
+                let code = match refusal {
+                    MemberRefusal::Failed => ResultCode::StatementFailed,
+                    _ => ResultCode::TransactionLost,
+                };
+                let detail = format!("member answered {}: {text}", refusal.name());
+                return fail(code, &detail);
+            }
+        }
+    }
+}
+
+fn fail<T>(code: ResultCode, detail: &str) -> Result<T> {
+    Err(StatementFailure::new(code, detail))
+}
+
+fn log_placed<K: StatementCodec, C: MonotonicClock>(
+    id: &str,
+    group: &GroupRuntime<K, C>,
+    member: MemberKey,
+    answer: &LinkAnswer,
+    attempts: u32,
+) {
+    let (member, term) = group.with(|group| {
+        let member = group.members.get(member);
+        let name = member.map_or_else(String::new, |member| member.server.id.clone());
+        (name, group.reign.term().0)
+    });
+    let position = answer.position.unwrap_or_default();
+    log::info!(
+        request = id,
+        group = group.name.as_str(),
+        member = member.as_str(),
+        term,
+        position = position.to_string().as_str(),
+        attempts;
+        "statement placed"
+    );
+}
+
+/// Returns when the session must end: at once when the host stops, after a
+/// short wait for a next statement when it drains.
+async fn stop_signal(phase: &mut watch::Receiver<ServicePhase>, is_busy: bool) {
+    loop {
+        let current = *phase.borrow_and_update();
+        match current {
+            ServicePhase::Stopping => return,
+            ServicePhase::Draining if !is_busy => {
+                tokio::select! {
+                    () = sleep(DRAIN_PATIENCE) => return,
+                    changed = phase.changed() => {
+                        if changed.is_err() {
+                            return;
+                        }
+                    }
+                }
+            }
+            ServicePhase::Serving | ServicePhase::Draining => {
+                if phase.changed().await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/statement.rs
@@ -0,0 +1,568 @@
+//! Places one statement: chooses a member, sends the statement, and repeats it
+//! elsewhere where that is safe.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coordination::admission::{AdmissionRefusal, AdmissionRequest};
+use coordination::managed::dispatch::{
+    choose_primary, choose_read, HostPlace, PlaceChoice, PlaceLack, ReadNeed,
+};
+use coordination::retry::{ErrorClass, FailedAttempt, RetryDecision, RetryKind, SendProgress};
+use protocol::result_code::ResultCode;
+use protocol::statement::{
+    ForwardBody, MemberRefusal, MemberStatement, PreparedShape, StatementAccess,
+};
+use state::clock::MonotonicClock;
+use state::keys::MemberKey;
+use state::log::LogPosition;
+use state::plan::AccessRoute;
+use tokio::time::{sleep, timeout_at};
+
+use super::codec::StatementCodec;
+use super::context::HostContext;
+use super::group_runtime::{GroupRuntime, LinkPool};
+use super::link::{LinkAnswer, LinkError, LinkSetup, MemberLink};
+use crate::pool::{PoolError, PooledConnection};
+
+/// Longest wait for a change of the group before the choice is made again.
+const ROUTE_RECHECK: Duration = Duration::from_millis(50);
+/// Shortest time that an attempt of a read gets: a statement that waits for a
+/// slot behind two others is answered within it.
+const ATTEMPT_MIN: Duration = Duration::from_millis(250);
+/// Longest time to open a connection or prepare it: a member that lives answers
+/// sooner, and the statement can go elsewhere.
+const SETUP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Result of a statement.
+pub(super) type Result<T> = std::result::Result<T, StatementFailure>;
+
+/// What a caller learns of a statement that did not succeed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct StatementFailure {
+    pub(super) code: ResultCode,
+    pub(super) detail: String,
+}
+
+impl StatementFailure {
+    pub(super) fn new(code: ResultCode, detail: &str) -> Self {
+        Self {
+            code,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+/// What is sent to a member.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum StatementBody<'a> {
+    /// The caller's text.
+    Text(&'a str),
+    /// A prepared statement.
+    Execute {
+        /// What it runs.
+        shape: &'a PreparedShape,
+        /// The caller's arguments.
+        arguments: &'a str,
+    },
+    /// A commit.
+    Commit,
+}
+
+impl<'a> StatementBody<'a> {
+    fn shape(&self) -> Option<&'a PreparedShape> {
+        match *self {
+            Self::Execute { shape, .. } => Some(shape),
+            Self::Text(_) | Self::Commit => None,
+        }
+    }
+}
+
+/// The transaction that a statement opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TransactionStart {
+    pub(super) read_only: bool,
+}
+
+/// A statement that is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StatementOrder<'a> {
+    pub(super) id: &'a str,
+    pub(super) body: StatementBody<'a>,
+    pub(super) access: StatementAccess,
+    pub(super) route: &'a AccessRoute,
+    /// The transaction that it opens; nothing outside of transactions.
+    pub(super) start: Option<TransactionStart>,
+    /// Beginning of the statement or of its transaction.
+    pub(super) began_at: Instant,
+    pub(super) deadline: Instant,
+    pub(super) values: &'a BTreeMap<String, String>,
+    pub(super) own_position: Option<LogPosition>,
+}
+
+impl StatementOrder<'_> {
+    /// The first statement of a transaction can be repeated, since the
+    /// transaction that is given up never commits.
+    fn retry_kind(&self) -> RetryKind {
+        match (self.access, self.start) {
+            (StatementAccess::Write, None) => RetryKind::Write,
+            _ => RetryKind::Read,
+        }
+    }
+
+    fn needs_primary(&self) -> bool {
+        match self.start {
+            Some(start) => !start.read_only,
+            None => self.access == StatementAccess::Write,
+        }
+    }
+
+    /// Returns the instant for which the primary must be assured when it
+    /// serves reads of this order; writes take that of their answer.
+    fn assured_at(&self) -> Option<Instant> {
+        if self.retry_kind() == RetryKind::Write {
+            return None;
+        }
+        let staleness = self.route.freshness.max_staleness();
+        Some(self.began_at.checked_sub(staleness).unwrap_or(self.began_at))
+    }
+}
+
+/// An answered statement and the connection that it used.
+#[derive(Debug)]
+pub(super) struct PlacedAnswer<K: StatementCodec> {
+    pub(super) answer: LinkAnswer,
+    pub(super) link: PooledConnection<MemberLink<K>>,
+    pub(super) member: MemberKey,
+    pub(super) attempts: u32,
+}
+
+/// An attempt that did not succeed.
+#[derive(Debug)]
+struct AttemptFailure {
+    progress: SendProgress,
+    error: ErrorClass,
+    code: ResultCode,
+    detail: String,
+}
+
+impl AttemptFailure {
+    /// No byte of the statement was sent; another member may take it.
+    fn not_sent(code: ResultCode, detail: &str) -> Self {
+        Self {
+            progress: SendProgress::NotSent,
+            error: ErrorClass::ConnectFailed,
+            code,
+            detail: detail.to_owned(),
+        }
+    }
+
+    fn no_route(code: ResultCode, detail: &str) -> Self {
+        Self {
+            error: ErrorClass::NoRoute,
+            ..Self::not_sent(code, detail)
+        }
+    }
+
+    fn sent(error: ErrorClass, code: ResultCode, detail: &str) -> Self {
+        Self {
+            progress: SendProgress::Sent,
+            error,
+            code,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+/// One statement on its way.
+pub(super) struct StatementRunner<'a, K: StatementCodec, C> {
+    pub(super) context: &'a HostContext<K, C>,
+    pub(super) group: &'a Arc<GroupRuntime<K, C>>,
+    pub(super) order: &'a StatementOrder<'a>,
+}
+
+impl<K: StatementCodec, C: MonotonicClock> StatementRunner<'_, K, C> {
+    /// Runs the statement until it is answered or given up.
+    pub(super) async fn run(&self) -> Result<PlacedAnswer<K>> {
+        let mut tried = Vec::new();
+        let mut attempts = 0;
+        self.context.retries().count_request(Instant::now());
+        loop {
+            attempts += 1;
+            let mut changes = self.group.subscribe();
+            let failed = match self.attempt(&mut tried).await {
+                Ok(placed) => return Ok(PlacedAnswer { attempts, ..placed }),
+                Err(failed) => failed,
+            };
+            match self.decide(&failed, attempts) {
+                RetryDecision::Retry { delay } => {
+                    self.log_retry(&failed, attempts);
+                    sleep(delay).await;
+                }
+                RetryDecision::AwaitRoute => {
+                    tried.clear();
+                    let recheck = Instant::now() + ROUTE_RECHECK;
+                    let until = recheck.min(self.order.deadline);
+                    // Either outcome leads to a new choice.
+                    let _changed = timeout_at(until.into(), changes.changed()).await;
+                }
+                RetryDecision::FailUnknown | RetryDecision::ResolveOutcome
+                    if self.order.retry_kind() == RetryKind::Write =>
+                {
+                    return Err(StatementFailure::new(
+                        ResultCode::OutcomeUnknown,
+                        &failed.detail,
+                    ));
+                }
+                RetryDecision::PassError
+                | RetryDecision::FailUnknown
+                | RetryDecision::ResolveOutcome
+                | RetryDecision::FailNotRun(_) => {
+                    return Err(StatementFailure::new(failed.code, &failed.detail));
+                }
+            }
+        }
+    }
+
+    fn decide(&self, failed: &AttemptFailure, attempt: u32) -> RetryDecision {
+        let failed = FailedAttempt {
+            kind: self.order.retry_kind(),
+            progress: failed.progress,
+            recorded: false,
+            error: failed.error,
+            deadline: self.order.deadline,
+            attempt,
+        };
+        let jitter = rand::random_range(0.0..1.0);
+        self.context.retries().decide(&failed, jitter, Instant::now())
+    }
+
+    fn log_retry(&self, failed: &AttemptFailure, attempt: u32) {
+        log::info!(
+            request = self.order.id,
+            group = self.group.name.as_str(),
+            attempt,
+            code = failed.code.number(),
+            reason = failed.detail.as_str();
+            "attempt failed"
+        );
+    }
+
+    fn choose(&self, tried: &[MemberKey]) -> PlaceChoice {
+        let order = self.order;
+        let now = self.context.clock.now();
+        self.group.with(|group| {
+            if order.needs_primary() {
+                return choose_primary(group, order.assured_at(), tried, now);
+            }
+            let need = ReadNeed {
+                freshness: order.route.freshness,
+                began_at: order.began_at,
+                own_position: order.own_position,
+                tried,
+            };
+            let place = HostPlace {
+                data_centre: &self.context.settings.data_centre,
+                region: &self.context.region,
+            };
+            choose_read(group, &need, &place, now)
+        })
+    }
+
+    async fn attempt(
+        &self,
+        tried: &mut Vec<MemberKey>,
+    ) -> std::result::Result<PlacedAnswer<K>, AttemptFailure> {
+        let (member, since, assured_at) = match self.choose(tried) {
+            PlaceChoice::Replica { member, since } => (member, Some(since), None),
+            PlaceChoice::Primary { member, assured_at } => (member, None, Some(assured_at)),
+            PlaceChoice::None(lack) => return Err(self.no_route(lack)),
+        };
+        let Some(pool) = self.group.pool(member) else {
+            return Err(AttemptFailure::no_route(
+                ResultCode::NoFreshMember,
+                "the member has left",
+            ));
+        };
+        let mut pass = pool.gate().enter(&self.admission()).await.map_err(|refusal| {
+            tried.push(member);
+            let code = match refusal {
+                AdmissionRefusal::QueueFull => ResultCode::QueueFull,
+                AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
+            };
+            AttemptFailure::not_sent(code, "the member's queue")
+        })?;
+        let _in_flight = InFlight::enter(self.group, member);
+        let mut link = self.check_out(&pool, member, tried).await?;
+        self.prepare(&mut link, member, since, tried).await?;
+        let answer = self.exchange(&mut link, member, since, tried).await?;
+        pass.note_answer();
+        drop(pass);
+        self.context
+            .metrics
+            .count_member(pool.name(), refusal_name(&answer));
+        if let Err((refusal, text)) = &answer.outcome {
+            return Err(self.refused(member, since, *refusal, text, tried));
+        }
+        if let Some(instant) = assured_at {
+            let instant = instant.unwrap_or_else(|| self.context.clock.now());
+            if !self.group.await_assurance(instant, self.order.deadline).await {
+                return Err(AttemptFailure::sent(
+                    ErrorClass::NotConfirmed,
+                    ResultCode::NoFreshMember,
+                    "the primary could not be assured",
+                ));
+            }
+        }
+        Ok(PlacedAnswer {
+            answer,
+            link,
+            member,
+            attempts: 0,
+        })
+    }
+
+    fn admission(&self) -> AdmissionRequest {
+        AdmissionRequest {
+            customer: self.context.account(&self.order.route.database),
+            class: None,
+            weight: 1,
+            priority: self.order.route.priority,
+            deadline: self.order.deadline,
+        }
+    }
+
+    fn no_route(&self, lack: PlaceLack) -> AttemptFailure {
+        match lack {
+            PlaceLack::NoPrimary => {
+                AttemptFailure::no_route(ResultCode::NoPrimary, "no primary is known")
+            }
+            PlaceLack::NotAssured => {
+                AttemptFailure::no_route(ResultCode::NoPrimary, "the primary is not assured")
+            }
+            PlaceLack::NoMember => {
+                AttemptFailure::no_route(ResultCode::NoFreshMember, "no member qualifies")
+            }
+        }
+    }
+
+    async fn check_out(
+        &self,
+        pool: &LinkPool<K>,
+        member: MemberKey,
+        tried: &mut Vec<MemberKey>,
+    ) -> std::result::Result<PooledConnection<MemberLink<K>>, AttemptFailure> {
+        let deadline = self.order.deadline.min(Instant::now() + SETUP_TIMEOUT);
+        match pool.check_out(deadline).await {
+            Ok(link) => Ok(link),
+            Err(PoolError::Exhausted) => {
+                tried.push(member);
+                Err(AttemptFailure::not_sent(
+                    ResultCode::DeadlineTooShort,
+                    "no connection became free",
+                ))
+            }
+            Err(PoolError::Connect(error)) => {
+                self.note_lost(member, &error, tried);
+                Err(AttemptFailure::not_sent(
+                    ResultCode::NoPrimary,
+                    &error.to_string(),
+                ))
+            }
+        }
+    }
+
+    async fn prepare(
+        &self,
+        link: &mut PooledConnection<MemberLink<K>>,
+        member: MemberKey,
+        since: Option<LogPosition>,
+        tried: &mut Vec<MemberKey>,
+    ) -> std::result::Result<(), AttemptFailure> {
+        let begin = self.order.start.map(|start| MemberStatement::Begin {
+            read_only: start.read_only,
+            since,
+        });
+        let setup = LinkSetup {
+            values: self.order.values,
+            shape: self.order.body.shape(),
+            begin,
+        };
+        let deadline = self.order.deadline.min(Instant::now() + SETUP_TIMEOUT);
+        match link.prepare(&setup, deadline).await {
+            Ok(None) => Ok(()),
+            Ok(Some(refusal)) => {
+                let mut failed = self.refused(member, since, refusal, "set-up", tried);
+                failed.progress = SendProgress::NotSent;
+                if failed.error != ErrorClass::NoRoute {
+                    failed.error = ErrorClass::ConnectFailed;
+                }
+                Err(failed)
+            }
+            Err(error) => {
+                self.note_lost(member, &error, tried);
+                Err(AttemptFailure::not_sent(
+                    ResultCode::NoPrimary,
+                    &error.to_string(),
+                ))
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        link: &mut PooledConnection<MemberLink<K>>,
+        member: MemberKey,
+        since: Option<LogPosition>,
+        tried: &mut Vec<MemberKey>,
+    ) -> std::result::Result<LinkAnswer, AttemptFailure> {
+        // Inside a transaction the position was checked by its beginning.
+        let since = since.filter(|_| self.order.start.is_none());
+        let asked_at = self.context.clock.now();
+        let sent_at = Instant::now();
+        let deadline = self.attempt_deadline(sent_at);
+        let asked = ask(link, self.order.id, since, self.order.body, deadline).await;
+        let answer = asked.map_err(|error| {
+            self.note_lost(member, &error, tried);
+            AttemptFailure::sent(
+                ErrorClass::ConnectionLost,
+                ResultCode::ReadUnanswered,
+                &error.to_string(),
+            )
+        })?;
+        self.group.note_answer(member, &answer, asked_at);
+        if answer.outcome.is_ok() {
+            let latency = sent_at.elapsed();
+            self.group.with(|group| group.note_latency(member, latency));
+        }
+        Ok(answer)
+    }
+
+    /// A read leaves time for a second attempt.
+    fn attempt_deadline(&self, now: Instant) -> Instant {
+        let deadline = self.order.deadline;
+        if self.order.retry_kind() == RetryKind::Write {
+            return deadline;
+        }
+        let half = deadline.saturating_duration_since(now) / 2;
+        deadline.min(now + half.max(ATTEMPT_MIN))
+    }
+
+    fn note_lost(&self, member: MemberKey, error: &LinkError, tried: &mut Vec<MemberKey>) {
+        tried.push(member);
+        self.group.note_failure(member, error);
+    }
+
+    fn refused(
+        &self,
+        member: MemberKey,
+        since: Option<LogPosition>,
+        refusal: MemberRefusal,
+        text: &str,
+        tried: &mut Vec<MemberKey>,
+    ) -> AttemptFailure {
+        let detail = format!("member answered {}: {text}", refusal.name());
+        let is_read = self.order.retry_kind() == RetryKind::Read;
+        let not_run = ErrorClass::RefusedNotRun;
+        match refusal {
+            MemberRefusal::Lagging => {
+                tried.push(member);
+                let now = self.context.clock.now();
+                let position = since.unwrap_or_default();
+                self.group.with(|group| group.note_lag(member, position, now));
+                AttemptFailure::not_sent(ResultCode::NoFreshMember, &detail)
+            }
+            MemberRefusal::ReadOnly => AttemptFailure::no_route(ResultCode::NoPrimary, &detail),
+            MemberRefusal::Busy => {
+                if !self.order.needs_primary() {
+                    tried.push(member);
+                }
+                AttemptFailure::sent(not_run, ResultCode::QueueFull, &detail)
+            }
+            MemberRefusal::UnknownStatement
+            | MemberRefusal::WrongMember
+            | MemberRefusal::ConnectionLimit => {
+                tried.push(member);
+                AttemptFailure::not_sent(ResultCode::NoFreshMember, &detail)
+            }
+            MemberRefusal::Aborted => {
+                AttemptFailure::sent(not_run, ResultCode::TransactionLost, &detail)
+            }
+            MemberRefusal::Failed if is_read => {
+                tried.push(member);
+                let lost = ErrorClass::ConnectionLost;
+                AttemptFailure::sent(lost, ResultCode::StatementFailed, &detail)
+            }
+            MemberRefusal::Failed => {
+                let error = ErrorClass::StatementError;
+                AttemptFailure::sent(error, ResultCode::StatementFailed, &detail)
+            }
+            MemberRefusal::Malformed => {
+                let error = ErrorClass::StatementError;
+                AttemptFailure::sent(error, ResultCode::Malformed, &detail)
+            }
+            MemberRefusal::TimedOut | MemberRefusal::OutcomeUnknown => {
+                tried.push(member);
+                let lost = ErrorClass::ConnectionLost;
+                AttemptFailure::sent(lost, ResultCode::ReadUnanswered, &detail)
+            }
+        }
+    }
+}
+
+/// Sends a caller's statement on a connection and waits for its answer.
+pub(super) async fn ask<K: StatementCodec>(
+    link: &mut MemberLink<K>,
+    id: &str,
+    since: Option<LogPosition>,
+    body: StatementBody<'_>,
+    deadline: Instant,
+) -> super::link::Result<LinkAnswer> {
+    let name = body.shape().map(MemberLink::<K>::prepared_name);
+    let body = match body {
+        StatementBody::Text(text) => ForwardBody::Text(text),
+        StatementBody::Commit => ForwardBody::Commit,
+        StatementBody::Execute { arguments, .. } => ForwardBody::Execute {
+            name: name.as_deref().unwrap_or_default(),
+            arguments,
+        },
+    };
+    let statement = MemberStatement::Forward { id, since, body };
+    link.ask(&statement, deadline).await
+}
+
+/// Returns the name of an answer's outcome for the metrics.
+pub(super) fn refusal_name(answer: &LinkAnswer) -> &'static str {
+    match &answer.outcome {
+        Ok(_) => "done",
+        Err((refusal, _)) => refusal.name(),
+    }
+}
+
+/// Counts a statement in flight at a member.
+pub(super) struct InFlight<'a, K: StatementCodec, C: MonotonicClock> {
+    group: &'a Arc<GroupRuntime<K, C>>,
+    member: MemberKey,
+}
+
+impl<'a, K: StatementCodec, C: MonotonicClock> InFlight<'a, K, C> {
+    pub(super) fn enter(group: &'a Arc<GroupRuntime<K, C>>, member: MemberKey) -> Self {
+        group.with(|group| {
+            if let Some(member) = group.members.get_mut(member) {
+                member.in_flight += 1;
+            }
+        });
+        Self { group, member }
+    }
+}
+
+impl<K: StatementCodec, C: MonotonicClock> Drop for InFlight<'_, K, C> {
+    fn drop(&mut self) {
+        self.group.with(|group| {
+            if let Some(member) = group.members.get_mut(self.member) {
+                member.in_flight = member.in_flight.saturating_sub(1);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/transport/src/managed/store_follower.rs
@@ -0,0 +1,288 @@
+//! Follows the rows that entry hosts share, and the list of backend servers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coordination::managed::reign::ReignRow;
+use serde::{Deserialize, Serialize};
+use state::clock::MonotonicClock;
+use state::listing::ListedServer;
+use state::member::MemberRole;
+use tokio::time::sleep;
+
+use super::codec::StatementCodec;
+use super::context::HostContext;
+use super::seam::{ControlTable, ControlWrite, HostPlatform, ListingReading, TableReading};
+
+/// Prefix of the keys of the groups' rows.
+const GROUP_PREFIX: &str = "group/";
+/// Interval of the reads of the groups' rows. Two reads in a row may fail
+/// before an assurance ends.
+const REIGN_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval while a change of primary is under way.
+const REIGN_INTERVAL_BUSY: Duration = Duration::from_millis(100);
+/// Interval of the reads of the list of backend servers: a member that is about
+/// to stop gets no new work after 3 s.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which a host renews its own row and counts the others.
+const HOST_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which a host whose row does not change counts as dead.
+const HOST_LIFETIME: Duration = Duration::from_secs(12);
+/// Time that a status question for the first row of a group may take.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Value of a host's row.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+struct HostRow {
+    /// Number of renewals since the process started.
+    renewals: u64,
+    /// The host is stopping.
+    leaving: bool,
+}
+
+/// Returns the key of a group's row.
+pub(super) fn group_key(group: &str) -> String {
+    format!("{GROUP_PREFIX}{group}")
+}
+
+/// Reads the groups' rows until the returned future is dropped.
+pub(super) async fn follow_reigns<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    platform: P,
+) {
+    let mut failing = false;
+    loop {
+        let asked_at = context.clock.now();
+        match platform.read_table(ControlTable::Reigns).await {
+            Ok(reading) => {
+                if std::mem::take(&mut failing) {
+                    log::info!(revision = reading.revision; "group rows can be read again");
+                }
+                apply_reigns(&context, &reading, asked_at);
+            }
+            Err(error) => {
+                context.metrics.count_store_failure("reigns");
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(reason = error.to_string().as_str(); "group rows cannot be read");
+                }
+            }
+        }
+        let groups = context.groups();
+        let is_busy = groups
+            .iter()
+            .any(|group| group.with(|group| group.reign.primary().is_none()));
+        sleep(match is_busy {
+            true => REIGN_INTERVAL_BUSY,
+            false => REIGN_INTERVAL,
+        })
+        .await;
+    }
+}
+
+fn apply_reigns<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    reading: &TableReading,
+    asked_at: Instant,
+) {
+    for row in &reading.rows {
+        let Some(name) = row.key.strip_prefix(GROUP_PREFIX) else {
+            continue;
+        };
+        match serde_json::from_slice::<ReignRow>(&row.value) {
+            Ok(value) => context
+                .group(name)
+                .observe_row(&value, row.revision, asked_at),
+            Err(error) => {
+                let reason = error.to_string();
+                log::error!(key = row.key.as_str(), reason = reason.as_str(); "bad group row");
+            }
+        }
+    }
+}
+
+/// Reads the list of backend servers until the returned future is dropped.
+pub(super) async fn follow_list<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    platform: P,
+) {
+    let mut failing = false;
+    let mut returned_at = None;
+    let mut rejected = HashMap::new();
+    loop {
+        match platform.list_servers().await {
+            Ok(listing) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("server list can be read again");
+                    returned_at = Some(context.clock.now());
+                }
+                log_rejected(&listing, &mut rejected);
+                apply_list(&context, &listing.servers, returned_at);
+                propose_first_rows(&context, &platform, &listing.servers).await;
+            }
+            Err(error) => {
+                context.metrics.count_store_failure("servers");
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(reason = error.to_string().as_str(); "server list cannot be read");
+                }
+            }
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Logs each entry that cannot be understood once.
+fn log_rejected(listing: &ListingReading, known: &mut HashMap<String, String>) {
+    known.retain(|key, _| listing.rejected.iter().any(|(one, _)| one == key));
+    for (key, reason) in &listing.rejected {
+        if known.insert(key.clone(), reason.clone()).as_ref() != Some(reason) {
+            log::warn!(entry = key.as_str(), reason = reason.as_str(); "server entry ignored");
+        }
+    }
+}
+
+fn apply_list<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    servers: &[ListedServer],
+    returned_at: Option<Instant>,
+) {
+    let mut by_group: HashMap<&str, Vec<ListedServer>> = HashMap::new();
+    for server in servers {
+        let group = by_group.entry(&server.group).or_default();
+        group.push(server.clone());
+    }
+    for name in by_group.keys() {
+        context.group(name);
+    }
+    for group in context.groups() {
+        let servers = by_group.remove(group.name.as_str()).unwrap_or_default();
+        group.apply_list(&servers, returned_at);
+    }
+}
+
+/// Writes the row of each group that has none, from what its primary says.
+async fn propose_first_rows<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    platform: &P,
+    servers: &[ListedServer],
+) {
+    for server in servers.iter().filter(|one| one.role == MemberRole::Primary) {
+        let group = context.group(&server.group);
+        if group.with(|group| group.reign.row().is_some()) {
+            continue;
+        }
+        let Some(key) = group.with(|group| group.find(&server.id)) else {
+            continue;
+        };
+        let Ok(status) = group.ask_status(key, STATUS_TIMEOUT).await else {
+            continue;
+        };
+        if status.role != MemberRole::Primary {
+            continue;
+        }
+        let row = ReignRow {
+            primary: server.id.clone(),
+            term: status.term,
+            change: None,
+        };
+        let written = write_reign(platform, &group.name, 0, &row).await;
+        if let Err(error) = written {
+            let reason = error.to_string();
+            log::warn!(group = group.name.as_str(), reason = reason.as_str(); "first row not written");
+        }
+    }
+}
+
+/// Writes a group's row under a condition.
+pub(super) async fn write_reign<P: HostPlatform>(
+    platform: &P,
+    group: &str,
+    expected_revision: u64,
+    row: &ReignRow,
+) -> super::seam::Result<crate::seam::WriteAnswer> {
+    let value = encode(row);
+    platform
+        .write_row(&ControlWrite {
+            table: ControlTable::Reigns,
+            key: &group_key(group),
+            expected_revision,
+            value: &value,
+        })
+        .await
+}
+
+/// Encodes the value of a row.
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("a row of texts and numbers can be encoded")
+}
+
+/// Renews the host's own row and counts the live hosts until the returned
+/// future is dropped.
+pub(super) async fn follow_hosts<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
+    platform: P,
+) {
+    let mut renewals = 0;
+    let mut seen: HashMap<String, (u64, Instant)> = HashMap::new();
+    loop {
+        match platform.read_table(ControlTable::Hosts).await {
+            Ok(reading) => {
+                let now = context.clock.now();
+                let count = count_hosts(&reading, &mut seen, now);
+                for group in context.groups() {
+                    group.set_host_count(count);
+                }
+                renewals += 1;
+                renew(&context, &platform, &reading, renewals, false).await;
+            }
+            Err(error) => {
+                context.metrics.count_store_failure("hosts");
+                log::debug!(reason = error.to_string().as_str(); "host rows cannot be read");
+            }
+        }
+        sleep(HOST_INTERVAL).await;
+    }
+}
+
+fn count_hosts(
+    reading: &TableReading,
+    seen: &mut HashMap<String, (u64, Instant)>,
+    now: Instant,
+) -> u32 {
+    let mut count = 0;
+    for row in &reading.rows {
+        let leaving = serde_json::from_slice::<HostRow>(&row.value).is_ok_and(|row| row.leaving);
+        let entry = seen.entry(row.key.clone()).or_insert((row.revision, now));
+        if entry.0 != row.revision {
+            *entry = (row.revision, now);
+        }
+        let is_live = now.saturating_duration_since(entry.1) < HOST_LIFETIME;
+        count += u32::from(is_live && !leaving);
+    }
+    count.max(1)
+}
+
+async fn renew<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    platform: &P,
+    reading: &TableReading,
+    renewals: u64,
+    leaving: bool,
+) {
+    let host = &context.settings.host;
+    let own = reading.rows.iter().find(|row| row.key == *host);
+    let value = encode(&HostRow { renewals, leaving });
+    let written = platform
+        .write_row(&ControlWrite {
+            table: ControlTable::Hosts,
+            key: host,
+            expected_revision: own.map_or(0, |row| row.revision),
+            value: &value,
+        })
+        .await;
+    if let Err(error) = written {
+        context.metrics.count_store_failure("hosts");
+        log::debug!(reason = error.to_string().as_str(); "own host row not renewed");
+    }
+}
--- a/crates/transport/src/platform.rs
+++ b/crates/transport/src/platform.rs
@@ -9,6 +9,8 @@
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url};
 use serde::de::DeserializeOwned;
 
+pub use body::read_limited;
+
 use crate::seam::{
     HostEntry, HostList, ObjectStore, Result, SeamError, TableRow, TableService, WriteAnswer,
 };
--- a/crates/transport/src/platform/body.rs
+++ b/crates/transport/src/platform/body.rs
@@ -5,7 +5,7 @@
 use crate::seam::{Result, SeamError};
 
 /// Returns the body of a response of at most `limit` bytes.
-pub(super) async fn read_limited(mut response: Response, limit: usize) -> Result<Vec<u8>> {
+pub async fn read_limited(mut response: Response, limit: usize) -> Result<Vec<u8>> {
     let mut body = Vec::new();
     while let Some(chunk) = response
         .chunk()
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -4,6 +4,7 @@
 //! share of the server's limit. The share may change at run time.
 
 mod clean;
+mod connection;
 mod gate;
 
 use std::collections::VecDeque;
@@ -16,8 +17,9 @@
 use tokio::sync::{oneshot, Mutex as AsyncMutex};
 use tokio::time::{sleep_until, timeout_at};
 
-use crate::backend::{BackendConnection, BackendError, BackendIdentity};
+use crate::backend::{BackendConnection, BackendError};
 
+pub use connection::{ReleaseState, ServerConnection};
 pub use gate::{AdmissionGate, AdmissionPass};
 
 /// Longest time to open a connection, below the statement's own deadline, so
@@ -28,30 +30,30 @@
 const PROBE_SPACING: Duration = Duration::from_millis(250);
 
 /// Result of taking a connection.
-pub type Result<T> = std::result::Result<T, PoolError>;
+pub type Result<T, E = BackendError> = std::result::Result<T, PoolError<E>>;
 
 /// Pause after the server refused a connection at its limit.
 const LIMIT_REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why no connection could be taken. No statement was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PoolError {
+pub enum PoolError<E = BackendError> {
     /// No connection became free by the deadline.
     Exhausted,
     /// A connection could not be opened.
-    Connect(BackendError),
+    Connect(E),
 }
 
 /// The connections to one member.
 #[derive(Debug)]
-pub struct MemberPool {
+pub struct MemberPool<C: ServerConnection = BackendConnection> {
     name: String,
     address: SocketAddr,
-    identity: BackendIdentity,
+    identity: C::Identity,
     gate: Arc<AdmissionGate>,
     in_use: AtomicUsize,
     sibling: AsyncMutex<Option<SiblingProbe>>,
-    state: Mutex<PoolState>,
+    state: Mutex<PoolState<C>>,
 }
 
 /// Outcome of the last probe with a new connection.
@@ -66,22 +68,22 @@
 /// `open` counts the connections that are idle, in use, being opened or being
 /// cleaned. A new one is opened only while `open < share`.
 #[derive(Debug)]
-struct PoolState {
-    idle: Vec<BackendConnection>,
+struct PoolState<C: ServerConnection> {
+    idle: Vec<C>,
     open: usize,
     share: usize,
-    waiters: VecDeque<oneshot::Sender<PooledConnection>>,
+    waiters: VecDeque<oneshot::Sender<PooledConnection<C>>>,
     /// Connections that were open when the server last refused one at its
     /// limit, until the refusal is taken.
     refused_at: Option<u32>,
 }
 
-impl MemberPool {
+impl<C: ServerConnection> MemberPool<C> {
     /// Builds an empty pool.
     pub fn new(
         name: &str,
         address: SocketAddr,
-        identity: BackendIdentity,
+        identity: C::Identity,
         share: usize,
         gate: Arc<AdmissionGate>,
     ) -> Arc<Self> {
@@ -169,16 +171,18 @@
     /// Takes a connection, in order of arrival. A refusal by the server at its
     /// limit shrinks the share, and the request waits for the connections that
     /// there are.
-    pub async fn check_out(self: &Arc<Self>, deadline: Instant) -> Result<PooledConnection> {
+    pub async fn check_out(
+        self: &Arc<Self>,
+        deadline: Instant,
+    ) -> Result<PooledConnection<C>, C::Error> {
         loop {
             let mut pooled = self.wait_for_place(deadline).await?;
-            let is_alive = |connection: &BackendConnection| connection.is_alive();
-            if pooled.connection.as_ref().is_some_and(is_alive) {
+            if pooled.connection.as_ref().is_some_and(C::is_alive) {
                 return Ok(pooled);
             }
             match pooled.open(deadline).await {
                 Ok(()) => return Ok(pooled),
-                Err(PoolError::Connect(error)) if error.is_limit_refusal() => {
+                Err(PoolError::Connect(error)) if C::is_limit_refusal(&error) => {
                     self.note_limit_refusal();
                     drop(pooled);
                 }
@@ -192,7 +196,10 @@
         }
     }
 
-    async fn wait_for_place(self: &Arc<Self>, deadline: Instant) -> Result<PooledConnection> {
+    async fn wait_for_place(
+        self: &Arc<Self>,
+        deadline: Instant,
+    ) -> Result<PooledConnection<C>, C::Error> {
         match self.take_now() {
             Ok(pooled) => Ok(pooled),
             Err(waiter) => timeout_at(deadline.into(), waiter)
@@ -227,9 +234,9 @@
             }
         }
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let opened = BackendConnection::connect(self.address, &self.identity, deadline).await;
+        let opened = C::connect(self.address, &self.identity, deadline).await;
         // A refusal, for instance at the connection limit, is an answer too.
-        let answered = matches!(opened, Ok(_) | Err(BackendError::Refused { .. }));
+        let answered = opened.map_or_else(|error| C::is_refusal(&error), |_| true);
         *last = Some(SiblingProbe {
             ended_at: Instant::now(),
             answered,
@@ -239,7 +246,7 @@
 
     fn take_now(
         self: &Arc<Self>,
-    ) -> std::result::Result<PooledConnection, oneshot::Receiver<PooledConnection>> {
+    ) -> std::result::Result<PooledConnection<C>, oneshot::Receiver<PooledConnection<C>>> {
         let mut state = self.lock();
         if let Some(connection) = state.idle.pop() {
             return Ok(self.wrap(Some(connection)));
@@ -253,7 +260,7 @@
         Err(receiver)
     }
 
-    fn wrap(self: &Arc<Self>, connection: Option<BackendConnection>) -> PooledConnection {
+    fn wrap(self: &Arc<Self>, connection: Option<C>) -> PooledConnection<C> {
         self.in_use.fetch_add(1, Ordering::Relaxed);
         PooledConnection {
             pool: Some(self.clone()),
@@ -262,7 +269,7 @@
     }
 
     /// Takes back a connection, or the place of a closed one.
-    fn check_in(self: &Arc<Self>, connection: Option<BackendConnection>) {
+    fn check_in(self: &Arc<Self>, connection: Option<C>) {
         self.in_use.fetch_sub(1, Ordering::Relaxed);
         let mut state = self.lock();
         match connection {
@@ -273,7 +280,7 @@
     }
 
     /// Hands free connections and places to the waiting requests in order.
-    fn serve_waiters(self: &Arc<Self>, mut state: MutexGuard<'_, PoolState>) {
+    fn serve_waiters(self: &Arc<Self>, mut state: MutexGuard<'_, PoolState<C>>) {
         while !state.waiters.is_empty() {
             let connection = state.idle.pop();
             if connection.is_none() {
@@ -296,7 +303,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, PoolState> {
+    fn lock(&self) -> MutexGuard<'_, PoolState<C>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -305,27 +312,27 @@
 /// one is reused, one with a transaction or session state is cleaned first,
 /// one with an outstanding answer is closed.
 #[derive(Debug)]
-pub struct PooledConnection {
-    pool: Option<Arc<MemberPool>>,
-    connection: Option<BackendConnection>,
+pub struct PooledConnection<C: ServerConnection = BackendConnection> {
+    pool: Option<Arc<MemberPool<C>>>,
+    connection: Option<C>,
 }
 
-impl PooledConnection {
+impl<C: ServerConnection> PooledConnection<C> {
     /// Closes the connection instead of returning it.
     pub fn close(mut self) {
         self.connection = None;
     }
 
     /// Returns the pool that it came from.
-    pub fn pool(&self) -> &Arc<MemberPool> {
+    pub fn pool(&self) -> &Arc<MemberPool<C>> {
         self.pool.as_ref().expect("a pooled connection has a pool")
     }
 
-    async fn open(&mut self, deadline: Instant) -> Result<()> {
+    async fn open(&mut self, deadline: Instant) -> Result<(), C::Error> {
         self.connection = None;
         let pool = self.pool().clone();
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connection = BackendConnection::connect(pool.address, &pool.identity, deadline)
+        let connection = C::connect(pool.address, &pool.identity, deadline)
             .await
             .map_err(PoolError::Connect)?;
         self.connection = Some(connection);
@@ -333,7 +340,7 @@
     }
 
     /// Takes the connection out without returning its place to the pool.
-    fn dissolve(mut self) -> Option<BackendConnection> {
+    fn dissolve(mut self) -> Option<C> {
         if let Some(pool) = self.pool.take() {
             pool.in_use.fetch_sub(1, Ordering::Relaxed);
         }
@@ -341,33 +348,32 @@
     }
 }
 
-impl Deref for PooledConnection {
-    type Target = BackendConnection;
+impl<C: ServerConnection> Deref for PooledConnection<C> {
+    type Target = C;
 
-    fn deref(&self) -> &BackendConnection {
+    fn deref(&self) -> &C {
         self.connection.as_ref().expect("connection is open")
     }
 }
 
-impl DerefMut for PooledConnection {
-    fn deref_mut(&mut self) -> &mut BackendConnection {
+impl<C: ServerConnection> DerefMut for PooledConnection<C> {
+    fn deref_mut(&mut self) -> &mut C {
         self.connection.as_mut().expect("connection is open")
     }
 }
 
-impl Drop for PooledConnection {
+impl<C: ServerConnection> Drop for PooledConnection<C> {
     fn drop(&mut self) {
         let Some(pool) = self.pool.take() else {
             return;
         };
-        let mut connection = self.connection.take();
-        if let Some(connection) = &mut connection {
-            connection.set_term(None);
-        }
-        match connection {
-            Some(connection) if connection.is_clean() => pool.check_in(Some(connection)),
-            Some(connection) if connection.is_settled() => clean::spawn(pool, connection),
-            _ => pool.check_in(None),
+        let Some(mut connection) = self.connection.take() else {
+            return pool.check_in(None);
+        };
+        match connection.release() {
+            ReleaseState::Clean => pool.check_in(Some(connection)),
+            ReleaseState::Unclean => clean::spawn(pool, connection),
+            ReleaseState::Broken => pool.check_in(None),
         }
     }
 }
--- a/crates/transport/src/seam.rs
+++ b/crates/transport/src/seam.rs
@@ -17,7 +17,7 @@
 pub enum SeamError {
     /// No answer: the call may or may not have taken effect.
     NoAnswer(String),
-    /// The connection was refused: no process listens there, and the call had
+    /// The connection was refused or the service turned the call away; it had
     /// no effect.
     Unreachable(String),
     /// The other side refused the call; it had no effect.
