--- a/crates/cassiad/src/main.rs
+++ b/crates/cassiad/src/main.rs
@@ -39,7 +39,9 @@
     let arguments: Arguments = argh::from_env();
     match arguments.managed {
         true => start(&arguments, EntrySettings::parse, entry::run),
-        false => start(&arguments, DaemonSettings::parse, |settings, _| run(settings)),
+        false => start(&arguments, DaemonSettings::parse, |settings, _| {
+            run(settings)
+        }),
     }
 }
 
--- a/crates/coordination/src/managed/reign.rs
+++ b/crates/coordination/src/managed/reign.rs
@@ -208,7 +208,11 @@
     }
 
     fn note_successor(&mut self, member: &str, term: Term, now: Instant) {
-        if self.successor.as_ref().is_some_and(|seen| seen.term >= term) {
+        if self
+            .successor
+            .as_ref()
+            .is_some_and(|seen| seen.term >= term)
+        {
             return;
         }
         self.successor = Some(SuccessorSight {
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -76,7 +76,13 @@
         require_number(&mut list, "grace_s", self.grace_s, 1.0, 600.0);
         let store = &self.store;
         require_number(&mut list, "store.reads_per_s", store.reads_per_s, 1.0, 1e6);
-        require_number(&mut list, "store.writes_per_s", store.writes_per_s, 1.0, 1e6);
+        require_number(
+            &mut list,
+            "store.writes_per_s",
+            store.writes_per_s,
+            1.0,
+            1e6,
+        );
         list.require_range("descriptor_limit", self.descriptor_limit, 64, 10_000_000);
         list.finish(())
     }
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -145,7 +145,9 @@
         let duty = self.take_duty().await?;
         let change = self.announce(group, duty, reason).await?;
         let former = group.with(|group| group.find(&change.former.primary));
-        let stepped = self.step_down(group, former, change.former.term.next()).await;
+        let stepped = self
+            .step_down(group, former, change.former.term.next())
+            .await;
         match self.survey(group, former, stepped).await? {
             SurveyDecision::Settle { member, term } => {
                 self.settle(group, &change, member, term).await
@@ -234,7 +236,10 @@
         former: Option<MemberKey>,
         term: Term,
     ) -> Option<LogPosition> {
-        let status = group.step_down(former?, term, QUESTION_TIMEOUT).await.ok()?;
+        let status = group
+            .step_down(former?, term, QUESTION_TIMEOUT)
+            .await
+            .ok()?;
         (status.role == MemberRole::Replica).then_some(status.received)
     }
 
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -98,9 +98,8 @@
     /// Tells whether the plan in force is the newest one but for a few seconds.
     pub(crate) fn is_plan_fresh(&self) -> bool {
         let confirmed_at = lock(&self.plan).confirmed_at;
-        confirmed_at.is_some_and(|instant| {
-            self.clock.now().saturating_duration_since(instant) < PLAN_FRESH
-        })
+        confirmed_at
+            .is_some_and(|instant| self.clock.now().saturating_duration_since(instant) < PLAN_FRESH)
     }
 
     /// Enters a read of the plan that was asked at `asked_at`. A plan never
@@ -122,7 +121,8 @@
         in_force.plan = Some(plan.clone());
         drop(in_force);
         for (name, group) in &plan.groups {
-            self.group(name).set_connection_limit(group.connection_limit);
+            self.group(name)
+                .set_connection_limit(group.connection_limit);
         }
     }
 
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -219,7 +219,9 @@
         let first = self.with(|group| {
             group.note_failure(key, failure, now);
             let member = group.members.get(key);
-            member.filter(|one| one.reach.failures == 1).map(|one| one.server.id.clone())
+            member
+                .filter(|one| one.reach.failures == 1)
+                .map(|one| one.server.id.clone())
         });
         if let Some(member) = first {
             let (group, reason) = (self.name.as_str(), error.to_string());
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -64,7 +64,9 @@
             .collect()
     });
     let asked_at = clock.now();
-    let questions = others.iter().map(|(key, _)| group.ask_status(*key, ROUND_TIMEOUT));
+    let questions = others
+        .iter()
+        .map(|(key, _)| group.ask_status(*key, ROUND_TIMEOUT));
     let answers: Vec<Option<(MemberRole, Term)>> = join_all(questions)
         .await
         .into_iter()
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -52,7 +52,10 @@
             )?,
             plan_version: IntGauge::new("cassia_entry_plan_version", "Version of the plan.")?,
             store_failures: IntCounterVec::new(
-                Opts::new("cassia_entry_store_failures_total", "Failed calls of the store."),
+                Opts::new(
+                    "cassia_entry_store_failures_total",
+                    "Failed calls of the store.",
+                ),
                 &["call"],
             )?,
             dropped_lines: IntCounter::new(
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -102,8 +102,12 @@
         self.context.phase.send_replace(ServicePhase::Draining);
         self.await_sessions(started + grace / 2).await;
         self.context.phase.send_replace(ServicePhase::Stopping);
-        self.await_sessions((started + grace).checked_sub(EXIT_RESERVE).unwrap_or(started))
-            .await;
+        self.await_sessions(
+            (started + grace)
+                .checked_sub(EXIT_RESERVE)
+                .unwrap_or(started),
+        )
+        .await;
         log::info!(sessions = *self.context.sessions().borrow(); "stopped");
         self.tasks.shutdown().await;
     }
--- a/crates/transport/src/managed/session.rs
+++ b/crates/transport/src/managed/session.rs
@@ -12,8 +12,7 @@
 use bytes::BytesMut;
 use protocol::result_code::ResultCode;
 use protocol::statement::{
-    CallerMessage, CallerStatement, MemberRefusal, PreparedShape, StatementAccess,
-    TransactionState,
+    CallerMessage, CallerStatement, MemberRefusal, PreparedShape, StatementAccess, TransactionState,
 };
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -134,15 +133,14 @@
         let greeting = tokio::time::timeout(GREETING_TIMEOUT, self.receive()).await;
         match greeting {
             Ok(received) => match received? {
-                Received::Message(CallerMessage::Connect { database }) => {
-                    self.open(database).await
-                }
+                Received::Message(CallerMessage::Connect { database }) => self.open(database).await,
                 Received::Message(CallerMessage::Malformed { reason }) => {
                     self.end_malformed(&reason).await?;
                     Ok(false)
                 }
                 Received::Message(CallerMessage::Statement { .. }) => {
-                    self.end_malformed("a statement before the greeting").await?;
+                    self.end_malformed("a statement before the greeting")
+                        .await?;
                     Ok(false)
                 }
                 Received::Message(CallerMessage::Quit)
@@ -280,8 +278,14 @@
     }
 
     fn report(&self, id: &str, done: &Result<Option<LinkAnswer>>, elapsed: Duration) {
-        let code = done.as_ref().err().map_or(0, |failure| failure.code.number());
-        let reason = done.as_ref().err().map_or("", |failure| failure.detail.as_str());
+        let code = done
+            .as_ref()
+            .err()
+            .map_or(0, |failure| failure.code.number());
+        let reason = done
+            .as_ref()
+            .err()
+            .map_or("", |failure| failure.detail.as_str());
         let plan = self.context.plan();
         let route = plan.as_ref().and_then(|plan| plan.route(&self.database));
         let freshness = route.map_or("none", |route| route.freshness.name());
@@ -312,9 +316,16 @@
 
     /// Executes a statement. Statements that the proxy answers itself have no
     /// answer of a member.
-    async fn execute(&mut self, id: &str, statement: CallerStatement) -> Result<Option<LinkAnswer>> {
+    async fn execute(
+        &mut self,
+        id: &str,
+        statement: CallerStatement,
+    ) -> Result<Option<LinkAnswer>> {
         if let Some(transaction) = &mut self.transaction {
-            let is_end = matches!(statement, CallerStatement::Commit | CallerStatement::Rollback);
+            let is_end = matches!(
+                statement,
+                CallerStatement::Commit | CallerStatement::Rollback
+            );
             match &transaction.state {
                 TransactionHealth::Failed if !is_end => {
                     return fail(ResultCode::Malformed, "the transaction has failed");
@@ -462,7 +473,9 @@
                 let _in_flight = InFlight::enter(&transaction.group, *member);
                 let answer = continue_transaction(link, &setup, id, body, deadline).await?;
                 let member_name = link.pool().name();
-                self.context.metrics.count_member(member_name, refusal_name(&answer));
+                self.context
+                    .metrics
+                    .count_member(member_name, refusal_name(&answer));
                 answer
             }
             None => {
@@ -509,7 +522,10 @@
                 return fail(ResultCode::TransactionLost, "the transaction has failed");
             }
         }
-        let began = self.transaction.as_ref().is_some_and(|one| one.link.is_some());
+        let began = self
+            .transaction
+            .as_ref()
+            .is_some_and(|one| one.link.is_some());
         if !began {
             // An empty transaction is begun and committed in one.
             let answer = self
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -125,7 +125,11 @@
             return None;
         }
         let staleness = self.route.freshness.max_staleness();
-        Some(self.began_at.checked_sub(staleness).unwrap_or(self.began_at))
+        Some(
+            self.began_at
+                .checked_sub(staleness)
+                .unwrap_or(self.began_at),
+        )
     }
 }
 
@@ -235,7 +239,9 @@
             attempt,
         };
         let jitter = rand::random_range(0.0..1.0);
-        self.context.retries().decide(&failed, jitter, Instant::now())
+        self.context
+            .retries()
+            .decide(&failed, jitter, Instant::now())
     }
 
     fn log_retry(&self, failed: &AttemptFailure, attempt: u32) {
@@ -285,14 +291,18 @@
                 "the member has left",
             ));
         };
-        let mut pass = pool.gate().enter(&self.admission()).await.map_err(|refusal| {
-            tried.push(member);
-            let code = match refusal {
-                AdmissionRefusal::QueueFull => ResultCode::QueueFull,
-                AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
-            };
-            AttemptFailure::not_sent(code, "the member's queue")
-        })?;
+        let mut pass = pool
+            .gate()
+            .enter(&self.admission())
+            .await
+            .map_err(|refusal| {
+                tried.push(member);
+                let code = match refusal {
+                    AdmissionRefusal::QueueFull => ResultCode::QueueFull,
+                    AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
+                };
+                AttemptFailure::not_sent(code, "the member's queue")
+            })?;
         let _in_flight = InFlight::enter(self.group, member);
         let mut link = self.check_out(&pool, member, tried).await?;
         self.prepare(&mut link, member, since, tried).await?;
@@ -307,7 +317,11 @@
         }
         if let Some(instant) = assured_at {
             let instant = instant.unwrap_or_else(|| self.context.clock.now());
-            if !self.group.await_assurance(instant, self.order.deadline).await {
+            if !self
+                .group
+                .await_assurance(instant, self.order.deadline)
+                .await
+            {
                 return Err(AttemptFailure::sent(
                     ErrorClass::NotConfirmed,
                     ResultCode::NoFreshMember,
@@ -470,7 +484,8 @@
                 tried.push(member);
                 let now = self.context.clock.now();
                 let position = since.unwrap_or_default();
-                self.group.with(|group| group.note_lag(member, position, now));
+                self.group
+                    .with(|group| group.note_lag(member, position, now));
                 AttemptFailure::not_sent(ResultCode::NoFreshMember, &detail)
             }
             MemberRefusal::ReadOnly => AttemptFailure::no_route(ResultCode::NoPrimary, &detail),
