Give up a primary as gone only after lists that follow its row

Connections that were open without use filled the members' limits for 3 s after a loss of power, and a refusal at the limit shrank a share for 5 s.

--- a/crates/coordination/src/managed/change.rs
+++ b/crates/coordination/src/managed/change.rs
@@ -58,15 +58,19 @@
     if group.reign.primary().is_none() {
         return Some(ChangeReason::Superseded);
     }
-    let Some(key) = group.find(&row.primary) else {
-        return Some(ChangeReason::Gone);
-    };
-    let member = &group.members[key];
+    let key = group.find(&row.primary);
     let has_successor = group
         .members
         .iter()
-        .any(|(other, one)| other != key && one.server.state == ServerState::Ready);
-    if member.server.state == ServerState::Draining && has_successor {
+        .any(|(other, one)| Some(other) != key && one.server.state == ServerState::Ready);
+    if !has_successor {
+        return None;
+    }
+    let Some(key) = key else {
+        return group.is_primary_unlisted().then_some(ChangeReason::Gone);
+    };
+    let member = &group.members[key];
+    if member.server.state == ServerState::Draining {
         return Some(ChangeReason::Draining);
     }
     let failing_since = member.reach.failing_since?;
@@ -78,7 +82,7 @@
     };
     let failing_for = now.saturating_duration_since(failing_since);
     let given_up = failing_for >= patience && member.reach.failures >= FAILURES_NEEDED;
-    (given_up && has_successor).then_some(ChangeReason::Unreachable)
+    given_up.then_some(ChangeReason::Unreachable)
 }
 
 /// What a member answered to the survey before a promotion.
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -135,6 +135,8 @@
     pub reign: ReignView,
     /// Instant at which the present reign was first seen.
     reign_seen_at: Option<Instant>,
+    /// Instant of the newest list.
+    listed_at: Option<Instant>,
     anchors: AnchorHistory,
 }
 
@@ -186,6 +188,7 @@
         now: Instant,
     ) -> Vec<ListEvent> {
         let mut events = Vec::new();
+        self.listed_at = Some(now);
         for server in servers {
             self.enter(server, now, &mut events);
         }
@@ -218,7 +221,8 @@
         if member.server.started_ms != server.started_ms || member.server.address != server.address
         {
             events.push(ListEvent::Restarted(server.id.clone()));
-            *member = ManagedMember::new(server.clone(), now);
+            self.members.remove(key);
+            self.members.insert(ManagedMember::new(server.clone(), now));
             return;
         }
         if member.server.state != server.state && server.state == ServerState::Draining {
@@ -288,6 +292,26 @@
         reach.retry_at = Some(now + doubled.min(RETRY_PAUSE_MAX));
     }
 
+    /// Enters that a statement sent at `sent_at` was not answered in time. A
+    /// member that answered others meanwhile is slow and not silent.
+    pub fn note_silence(&mut self, key: MemberKey, sent_at: Instant, now: Instant) {
+        let answered_at = self.members.get(key).and_then(|one| one.reach.answered_at);
+        if answered_at.is_none_or(|instant| instant <= sent_at) {
+            self.note_failure(key, ReachFailure::Silent, now);
+        }
+    }
+
+    /// Tells whether the list has lacked the primary's entry for long enough to
+    /// be sure: the row may name a member that is about to be listed.
+    pub fn is_primary_unlisted(&self) -> bool {
+        let Some(row) = self.reign.row() else {
+            return false;
+        };
+        let lists_since = self.listed_at.zip(self.reign_seen_at);
+        self.find(&row.primary).is_none()
+            && lists_since.is_some_and(|(listed_at, seen_at)| listed_at >= seen_at + RELIST_GRACE)
+    }
+
     /// Enters that a replica lacked a position.
     pub fn note_lag(&mut self, key: MemberKey, position: LogPosition, now: Instant) {
         if let Some(member) = self.members.get_mut(key) {
--- /dev/null
+++ b/crates/coordination/tests/support/managed.rs
@@ -0,0 +1,72 @@
+//! Managed groups for tests.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use coordination::managed::group::ManagedGroup;
+use coordination::managed::reign::{AnnouncedChange, ReignRow};
+use state::listing::{ListedServer, ServerState};
+use state::log::{LogPosition, Term};
+use state::member::MemberRole;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn server(id: &str, data_centre: &str) -> ListedServer {
+    ListedServer {
+        id: id.to_owned(),
+        group: "birds".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 5432)),
+        data_centre: data_centre.to_owned(),
+        state: ServerState::Ready,
+        role: MemberRole::Replica,
+        slots: 3,
+        warm_up_left: Duration::ZERO,
+        started_ms: 1,
+        heartbeat: 1,
+    }
+}
+
+pub fn reign(primary: &str, term: u64) -> ReignRow {
+    ReignRow {
+        primary: primary.to_owned(),
+        term: Term(term),
+        change: None,
+    }
+}
+
+pub fn announcement() -> AnnouncedChange {
+    AnnouncedChange {
+        host: "host-1".to_owned(),
+        fencing_token: 1,
+    }
+}
+
+/// Lets a group see its row, without a change under way. Revisions follow the
+/// terms.
+pub fn settle(group: &mut ManagedGroup, primary: &str, term: u64, asked_at: Instant) {
+    group.observe_row(&reign(primary, term), term, asked_at, asked_at);
+}
+
+/// A group with the primary `a` in `dc-1` and replicas `b` and `c` in `dc-2`
+/// and `dc-3`, all listed and the row read at `now`.
+pub fn group_of_three(now: Instant) -> ManagedGroup {
+    let mut group = ManagedGroup::default();
+    let list = [
+        server("a", "dc-1"),
+        server("b", "dc-2"),
+        server("c", "dc-3"),
+    ];
+    group.apply_list(&list, None, now);
+    settle(&mut group, "a", 1, now);
+    group
+}
+
+/// Lets the primary answer a question, which yields a watermark.
+pub fn answer_primary(group: &mut ManagedGroup, term: u64, offset: u64, asked_at: Instant) {
+    let key = group.primary().expect("the group has a primary");
+    let position = LogPosition::new(term, offset);
+    group.note_answer(key, Some(position), asked_at, asked_at + ms(5));
+}
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -30,6 +30,18 @@
 /// that wait at the member, so that a slot never idles for a round trip.
 const IN_FLIGHT_PER_SLOT: u32 = 3;
 
+/// Time without use after which a connection is closed: opening another one
+/// costs 12 ms, and busy connections are used several times a second.
+const UNUSED_AFTER: Duration = Duration::from_secs(3);
+
+/// An instant on the clock that counts suspension, which beliefs rest on, and
+/// on the clock of sockets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendInstant {
+    pub(crate) belief: Instant,
+    pub(crate) socket: Instant,
+}
+
 /// The pool of one member.
 pub(crate) type LinkPool<K> = Arc<MemberPool<MemberLink<K>>>;
 
@@ -39,7 +51,7 @@
     /// No connection was free; nothing is known about the member.
     NoConnection,
     /// The member was not reached or did not answer.
-    Failed(LinkError),
+    Failed,
 }
 
 /// A managed group.
@@ -207,29 +219,57 @@
         Some(pool)
     }
 
-    /// Enters that a member did not answer, and closes the connections that
-    /// have been silent for longer than the failed one.
-    pub(crate) fn note_failure(&self, key: MemberKey, error: &LinkError) {
-        let failure = match error {
-            LinkError::Connect(_) | LinkError::Lost(_) => ReachFailure::Refused,
-            LinkError::Refused(_) => ReachFailure::Replaced,
-            LinkError::TimedOut | LinkError::Protocol(_) => ReachFailure::Silent,
-        };
+    /// Enters that a statement sent at `sent_at` failed. When it was not
+    /// answered, the connections that have been silent for longer are closed.
+    pub(crate) fn note_failure(&self, key: MemberKey, error: &LinkError, sent_at: SendInstant) {
         let now = self.clock.now();
-        let first = self.with(|group| {
-            group.note_failure(key, failure, now);
+        let lost = self.with(|group| {
+            let failures = group.members.get(key).map_or(0, |one| one.reach.failures);
+            match error {
+                LinkError::TimedOut | LinkError::Protocol(_) => {
+                    group.note_silence(key, sent_at.belief, now);
+                }
+                LinkError::Connect(_) | LinkError::Lost(_) => {
+                    group.note_failure(key, ReachFailure::Refused, now);
+                }
+                LinkError::Refused(_) => group.note_failure(key, ReachFailure::Replaced, now),
+            }
             let member = group.members.get(key);
             member
-                .filter(|one| one.reach.failures == 1)
+                .filter(|one| failures == 0 && one.reach.failures > 0)
                 .map(|one| one.server.id.clone())
         });
-        if let Some(member) = first {
+        if let Some(member) = lost {
             let (group, reason) = (self.name.as_str(), error.to_string());
             log::warn!(group, member = member.as_str(), reason = reason.as_str(); "member lost");
         }
-        let pool = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(pool) = pool.get(key) {
-            pool.close_idle_before(Instant::now());
+        if *error != LinkError::TimedOut {
+            return;
+        }
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(key) {
+            pool.close_idle_before(sent_at.socket);
+        }
+    }
+
+    /// Returns the present instant on both clocks.
+    pub(crate) fn send_instant(&self) -> SendInstant {
+        SendInstant {
+            belief: self.clock.now(),
+            socket: Instant::now(),
+        }
+    }
+
+    /// Closes connections that are open without use, and takes back what
+    /// refusals at the members' limits took from the shares.
+    pub(crate) fn tidy_pools(&self) {
+        self.apply_limits();
+        let unused = Instant::now().checked_sub(UNUSED_AFTER);
+        let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        for pool in pools.values() {
+            if let Some(instant) = unused {
+                pool.close_unused_before(instant);
+            }
         }
     }
 
@@ -274,22 +314,23 @@
         statement: &MemberStatement<'_>,
         max_wait: Duration,
     ) -> Result<MemberStatus, AskError> {
-        let deadline = Instant::now() + max_wait;
+        let sent_at = self.send_instant();
+        let deadline = sent_at.socket + max_wait;
         let pool = self.pool(key).ok_or(AskError::NoConnection)?;
         let mut link = match pool.check_out(deadline).await {
             Ok(link) => link,
             Err(PoolError::Exhausted) => return Err(AskError::NoConnection),
             Err(PoolError::Connect(error)) => {
-                self.note_failure(key, &error);
-                return Err(AskError::Failed(error));
+                self.note_failure(key, &error, sent_at);
+                return Err(AskError::Failed);
             }
         };
         let asked_at = self.clock.now();
         let answer = match link.ask(statement, deadline).await {
             Ok(answer) => answer,
             Err(error) => {
-                self.note_failure(key, &error);
-                return Err(AskError::Failed(error));
+                self.note_failure(key, &error, sent_at);
+                return Err(AskError::Failed);
             }
         };
         self.note_answer(key, &answer, asked_at);
@@ -297,7 +338,11 @@
         let status = row.map(|row| K::parse_status(row));
         match status {
             Some(Ok(status)) => Ok(status),
-            Some(Err(error)) => Err(AskError::Failed(LinkError::Protocol(error.to_string()))),
+            Some(Err(error)) => {
+                let reason = error.to_string();
+                log::error!(group = self.name.as_str(), reason = reason.as_str(); "bad status");
+                Err(AskError::Failed)
+            }
             // A member whose slots are all taken answers so, too.
             None => Err(AskError::NoConnection),
         }
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -21,6 +21,9 @@
 /// Interval of the watch: a fraction of the time after which a primary counts
 /// as lost.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which pools are tidied. After a loss of power members drop the
+/// old connections within 3 s, and the share is to be used soon after.
+const TIDY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time before the end of an assurance at which the members are asked.
 const ASSURANCE_RESERVE: Duration = Duration::from_millis(200);
 /// Age of the newest watermark at which the primary is asked for one. Routes
@@ -35,9 +38,14 @@
     clock: C,
     driver: ChangeDriver<P, K, C>,
 ) {
+    let mut tidied_at = clock.now();
     loop {
         sleep(WATCH_INTERVAL).await;
         let now = clock.now();
+        if now.saturating_duration_since(tidied_at) >= TIDY_INTERVAL {
+            tidied_at = now;
+            group.tidy_pools();
+        }
         group.adopt_successor();
         let needs_round = group.with(|group| {
             group.reign.row().is_some() && !group.reign.is_assured(now + ASSURANCE_RESERVE)
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -100,27 +100,19 @@
         let started = Instant::now();
         log::info!(sessions = *self.context.sessions().borrow(); "draining");
         self.context.phase.send_replace(ServicePhase::Draining);
+        sleep(LEAVE_ROTATION.min(grace / 2)).await;
         self.await_sessions(started + grace / 2).await;
         self.context.phase.send_replace(ServicePhase::Stopping);
-        self.await_sessions(
-            (started + grace)
-                .checked_sub(EXIT_RESERVE)
-                .unwrap_or(started),
-        )
-        .await;
+        let exit_at = started + grace.saturating_sub(EXIT_RESERVE);
+        self.await_sessions(exit_at).await;
         log::info!(sessions = *self.context.sessions().borrow(); "stopped");
         self.tasks.shutdown().await;
     }
 
-    /// Waits until no session is open and none can come, at most until the
-    /// deadline.
+    /// Waits until no session is open, at most until the deadline.
     async fn await_sessions(&self, deadline: Instant) {
         let mut sessions = self.context.sessions();
-        let all_ended = async {
-            sleep(LEAVE_ROTATION.min(deadline.saturating_duration_since(Instant::now()))).await;
-            // The sender lives as long as the context.
-            let _ended = sessions.wait_for(|count| *count == 0).await;
-        };
+        let all_ended = sessions.wait_for(|count| *count == 0);
         // The deadline is the other regular end of the wait.
         let _in_time = tokio::time::timeout_at(deadline.into(), all_ended).await;
     }
--- a/crates/transport/src/managed/session.rs
+++ b/crates/transport/src/managed/session.rs
@@ -560,11 +560,11 @@
         };
         let _in_flight = InFlight::enter(&transaction.group, member);
         loop {
-            let asked_at = self.context.clock.now();
+            let sent_at = transaction.group.send_instant();
             let answer = match ask(&mut link, id, None, StatementBody::Commit, deadline).await {
                 Ok(answer) => answer,
                 Err(error) => {
-                    transaction.group.note_failure(member, &error);
+                    transaction.group.note_failure(member, &error, sent_at);
                     return Err(lost(&error.to_string()));
                 }
             };
@@ -573,7 +573,9 @@
                 .count_member(link.pool().name(), refusal_name(&answer));
             match &answer.outcome {
                 Ok(_) => {
-                    transaction.group.note_answer(member, &answer, asked_at);
+                    transaction
+                        .group
+                        .note_answer(member, &answer, sent_at.belief);
                     if wrote {
                         let instant = self.context.clock.now();
                         if !transaction.group.await_assurance(instant, deadline).await {
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -22,7 +22,7 @@
 
 use super::codec::StatementCodec;
 use super::context::HostContext;
-use super::group_runtime::{GroupRuntime, LinkPool};
+use super::group_runtime::{GroupRuntime, LinkPool, SendInstant};
 use super::link::{LinkAnswer, LinkError, LinkSetup, MemberLink};
 use crate::pool::{PoolError, PooledConnection};
 
@@ -367,7 +367,8 @@
         member: MemberKey,
         tried: &mut Vec<MemberKey>,
     ) -> std::result::Result<PooledConnection<MemberLink<K>>, AttemptFailure> {
-        let deadline = self.order.deadline.min(Instant::now() + SETUP_TIMEOUT);
+        let sent_at = self.group.send_instant();
+        let deadline = self.order.deadline.min(sent_at.socket + SETUP_TIMEOUT);
         match pool.check_out(deadline).await {
             Ok(link) => Ok(link),
             Err(PoolError::Exhausted) => {
@@ -378,7 +379,7 @@
                 ))
             }
             Err(PoolError::Connect(error)) => {
-                self.note_lost(member, &error, tried);
+                self.note_lost(member, &error, sent_at, tried);
                 Err(AttemptFailure::not_sent(
                     ResultCode::NoPrimary,
                     &error.to_string(),
@@ -403,7 +404,8 @@
             shape: self.order.body.shape(),
             begin,
         };
-        let deadline = self.order.deadline.min(Instant::now() + SETUP_TIMEOUT);
+        let sent_at = self.group.send_instant();
+        let deadline = self.order.deadline.min(sent_at.socket + SETUP_TIMEOUT);
         match link.prepare(&setup, deadline).await {
             Ok(None) => Ok(()),
             Ok(Some(refusal)) => {
@@ -415,7 +417,7 @@
                 Err(failed)
             }
             Err(error) => {
-                self.note_lost(member, &error, tried);
+                self.note_lost(member, &error, sent_at, tried);
                 Err(AttemptFailure::not_sent(
                     ResultCode::NoPrimary,
                     &error.to_string(),
@@ -433,21 +435,20 @@
     ) -> std::result::Result<LinkAnswer, AttemptFailure> {
         // Inside a transaction the position was checked by its beginning.
         let since = since.filter(|_| self.order.start.is_none());
-        let asked_at = self.context.clock.now();
-        let sent_at = Instant::now();
-        let deadline = self.attempt_deadline(sent_at);
+        let sent_at = self.group.send_instant();
+        let deadline = self.attempt_deadline(sent_at.socket);
         let asked = ask(link, self.order.id, since, self.order.body, deadline).await;
         let answer = asked.map_err(|error| {
-            self.note_lost(member, &error, tried);
+            self.note_lost(member, &error, sent_at, tried);
             AttemptFailure::sent(
                 ErrorClass::ConnectionLost,
                 ResultCode::ReadUnanswered,
                 &error.to_string(),
             )
         })?;
-        self.group.note_answer(member, &answer, asked_at);
+        self.group.note_answer(member, &answer, sent_at.belief);
         if answer.outcome.is_ok() {
-            let latency = sent_at.elapsed();
+            let latency = sent_at.socket.elapsed();
             self.group.with(|group| group.note_latency(member, latency));
         }
         Ok(answer)
@@ -463,9 +464,15 @@
         deadline.min(now + half.max(ATTEMPT_MIN))
     }
 
-    fn note_lost(&self, member: MemberKey, error: &LinkError, tried: &mut Vec<MemberKey>) {
+    fn note_lost(
+        &self,
+        member: MemberKey,
+        error: &LinkError,
+        sent_at: SendInstant,
+        tried: &mut Vec<MemberKey>,
+    ) {
         tried.push(member);
-        self.group.note_failure(member, error);
+        self.group.note_failure(member, error, sent_at);
     }
 
     fn refused(
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -38,8 +38,6 @@
 struct HostRow {
     /// Number of renewals since the process started.
     renewals: u64,
-    /// The host is stopping.
-    leaving: bool,
 }
 
 /// Returns the key of a group's row.
@@ -234,7 +232,7 @@
                     group.set_host_count(count);
                 }
                 renewals += 1;
-                renew(&context, &platform, &reading, renewals, false).await;
+                renew(&context, &platform, &reading, renewals).await;
             }
             Err(error) => {
                 context.metrics.count_store_failure("hosts");
@@ -252,13 +250,12 @@
 ) -> u32 {
     let mut count = 0;
     for row in &reading.rows {
-        let leaving = serde_json::from_slice::<HostRow>(&row.value).is_ok_and(|row| row.leaving);
         let entry = seen.entry(row.key.clone()).or_insert((row.revision, now));
         if entry.0 != row.revision {
             *entry = (row.revision, now);
         }
         let is_live = now.saturating_duration_since(entry.1) < HOST_LIFETIME;
-        count += u32::from(is_live && !leaving);
+        count += u32::from(is_live);
     }
     count.max(1)
 }
@@ -268,11 +265,10 @@
     platform: &P,
     reading: &TableReading,
     renewals: u64,
-    leaving: bool,
 ) {
     let host = &context.settings.host;
     let own = reading.rows.iter().find(|row| row.key == *host);
-    let value = encode(&HostRow { renewals, leaving });
+    let value = encode(&HostRow { renewals });
     let written = platform
         .write_row(&ControlWrite {
             table: ControlTable::Hosts,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -168,6 +168,23 @@
         self.serve_waiters(state);
     }
 
+    /// Closes idle connections that last received a byte before `instant`, but
+    /// keeps one. Connections that stay open without use would count against
+    /// the server's limit when hosts that lost power come back.
+    pub fn close_unused_before(&self, instant: Instant) {
+        let mut state = self.lock();
+        let mut closed = Vec::new();
+        while state.open > 1 {
+            // The connection that was returned last is used first.
+            let oldest = state.idle.first().map(C::received_at);
+            if oldest.is_none_or(|received_at| received_at >= instant) {
+                break;
+            }
+            state.open -= 1;
+            closed.push(state.idle.remove(0));
+        }
+    }
+
     /// Takes a connection, in order of arrival. A refusal by the server at its
     /// limit shrinks the share, and the request waits for the connections that
     /// there are.
