Let a leaving host give its peers their first grant

Cause: a host that had just started may use its own connection share only after each live peer granted it. A peer that left before the first grant, which is asked for every 250 ms, kept it from its share for 15 s: the pool had a share of 0 and the statement was refused with 1002, no connection became free. Ruled out: a refusal at the server's limit, a takeover in progress, the pool. Change: the last step of a shutdown waits, up to 1 s, while a live peer has had no grant of this process. A test of the decision without network.

--- a/crates/coordination/src/shares.rs
+++ b/crates/coordination/src/shares.rs
@@ -285,6 +285,15 @@
         }
     }
 
+    /// Tells whether a live peer still waits for its first grant of this
+    /// process. A host that leaves without it keeps such a peer, which has just
+    /// started, from its own share until `takeover_after` has passed.
+    pub fn owes_grant(&self, is_live: impl Fn(&str) -> bool) -> bool {
+        self.all_peers()
+            .iter()
+            .any(|peer| is_live(peer) && !self.leases.was_given(peer))
+    }
+
     /// Lends idle connections of the own share; returns how many. Nothing is
     /// lent whose evidence might end before the loan does, and nothing to hosts
     /// that the document does not list: after a restart this host asks only
--- a/crates/coordination/src/shares/leases.rs
+++ b/crates/coordination/src/shares/leases.rs
@@ -29,6 +29,8 @@
     granted_until: Option<Instant>,
     /// When this host last granted the peer, or started.
     granted_at: Instant,
+    /// Whether this process ever granted the peer.
+    given: bool,
     takeover: TakeoverState,
     incarnation: Option<u64>,
     /// When the incarnation last differed from the one before.
@@ -75,6 +77,7 @@
                 same_document: false,
                 granted_until: None,
                 granted_at: self.started_at,
+                given: false,
                 takeover: TakeoverState::None,
                 incarnation: None,
                 changed_at: None,
@@ -163,6 +166,12 @@
         let lease = self.peer(peer);
         assert_eq!(lease.takeover, TakeoverState::None, "share was released");
         lease.granted_at = now;
+        lease.given = true;
+    }
+
+    /// Tells whether this process ever granted a peer.
+    pub(super) fn was_given(&self, peer: &str) -> bool {
+        self.peers.get(peer).is_some_and(|lease| lease.given)
     }
 
     /// Starts the takeover of a peer's share if it is due; returns the attempt.
--- a/crates/coordination/tests/shares.rs
+++ b/crates/coordination/tests/shares.rs
@@ -717,3 +717,24 @@
     let settled = start + Duration::from_secs(15);
     expect_that!(table.answer_grant("z1", 7, settled), eq(granted(true)));
 }
+
+/// Guards against a host that leaves before its peers got a first grant: a peer
+/// that had just started could not use its own share for 15 s
+/// (`a_graceful_shutdown_finishes_transactions`, 1 of 10 runs).
+#[gtest]
+fn a_leaving_host_owes_live_peers_their_first_grant() {
+    let now = Instant::now();
+    let mut table = ShareTable::new("a1", TAKEOVER_AFTER, now);
+    let hosts = ["a1", "b1", "c1"].map(|name| ServingHost {
+        name: name.to_owned(),
+        data_centre: format!("dc-{name}"),
+    });
+    let layout = MemberLayout::new("dc-a1", 9, hosts.to_vec());
+    table.set_member("ma", layout, now);
+    let is_live = |host: &str| host != "c1";
+    expect_that!(table.owes_grant(is_live), eq(true));
+    table.answer_grant("b1", 1, now + Duration::from_millis(300));
+    expect_that!(table.owes_grant(is_live), eq(false));
+    expect_that!(table.owes_grant(|_| true), eq(true));
+    expect_that!(table.owes_grant(|_| false), eq(false));
+}
--- a/crates/transport/src/runtime/share_hub.rs
+++ b/crates/transport/src/runtime/share_hub.rs
@@ -145,6 +145,15 @@
         due.unwrap_or_default()
     }
 
+    /// Tells whether a live peer still waits for its first grant.
+    pub(super) fn owes_grant(&self, now: Instant) -> bool {
+        let is_live = |host: &str| self.hub.state(host, now) == MembershipState::Live;
+        let state = self.lock();
+        state
+            .as_ref()
+            .is_some_and(|state| state.table.owes_grant(is_live))
+    }
+
     /// Answers a peer's request for a grant.
     pub(super) fn grant(&self, request: &GrantRequest, now: Instant) -> GrantReply {
         let mut state = self.lock();
--- a/crates/transport/src/runtime/shutdown.rs
+++ b/crates/transport/src/runtime/shutdown.rs
@@ -1,12 +1,21 @@
 //! The life of a daemon from its first document to its graceful shutdown.
 
+use std::time::{Duration, Instant};
+
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::DaemonParts;
 use crate::caller::serve_callers;
 
+/// Longest wait for peers that have just started and still need a grant of this
+/// host. They ask every 250 ms.
+const GRANT_WAIT: Duration = Duration::from_secs(1);
+/// Interval at which the end of that wait is checked.
+const GRANT_POLL: Duration = Duration::from_millis(20);
+
 /// Runs a daemon until it has shut down; then its tasks end.
 ///
 /// Control tasks end only by a panic, when an invariant does not hold. The
@@ -45,6 +54,10 @@
     if let Some(mut callers) = callers {
         while callers.join_next().await.is_some() {}
     }
+    let give_up = Instant::now() + GRANT_WAIT;
+    while parts.shares.owes_grant(Instant::now()) && Instant::now() < give_up {
+        sleep(GRANT_POLL).await;
+    }
 }
 
 /// Starts to accept callers once the document in force is known to be the
