Let one host of a data centre read the store for the others

Change: the live host with the lowest name reads; the others get its readings over tarpc and read themselves when it does not answer within 700 ms. The age of a relayed reading rests on the store's steady clock and one direct call, so that an assurance ends early and never late.

--- a/crates/coordination/src/managed/reign.rs
+++ b/crates/coordination/src/managed/reign.rs
@@ -120,6 +120,11 @@
         Some((&row.primary, row.term))
     }
 
+    /// Tells whether a change of primary is under way.
+    pub fn is_changing(&self) -> bool {
+        self.row.is_some() && self.primary().is_none()
+    }
+
     /// Returns the instant up to which the primary is certain.
     pub fn assured_until(&self) -> Option<Instant> {
         self.assured_until
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod mark;
 pub mod member_control;
 pub mod peer;
+pub mod relay;
 pub mod result_code;
 pub mod statement;
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -27,6 +27,8 @@
     pub readiness_address: SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics_address: SocketAddr,
+    /// Address at which other hosts get readings of the store.
+    pub relay_address: SocketAddr,
     /// The platform's metadata store.
     pub store: StoreSettings,
     /// The platform's service that promotes members; absent where it has none.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log;
 pub mod member;
 pub mod plan;
+pub mod reading;
 pub mod request;
 pub mod session;
 pub mod settings;
--- a/crates/transport/src/managed.rs
+++ b/crates/transport/src/managed.rs
@@ -14,6 +14,7 @@
 mod link;
 mod metrics;
 mod plan_follower;
+mod relay;
 pub mod runtime;
 pub mod seam;
 mod session;
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -15,6 +15,8 @@
 use super::codec::StatementCodec;
 use super::group_runtime::GroupRuntime;
 use super::metrics::EntryMetrics;
+use super::relay::RelayHub;
+use super::store_follower::ListingMemory;
 
 /// Retries per request, beside [`RETRY_FLOOR_PER_S`]; the product's default.
 const RETRY_PERCENT: u64 = 10;
@@ -53,10 +55,12 @@
     pub(crate) clock: C,
     pub(crate) metrics: EntryMetrics,
     pub(crate) phase: watch::Sender<ServicePhase>,
+    pub(super) relay: Arc<RelayHub<C>>,
     plan: Mutex<PlanInForce>,
     groups: Mutex<HashMap<String, Arc<GroupRuntime<K, C>>>>,
     accounts: Mutex<AccountTable>,
     retries: Mutex<RetryPolicy>,
+    listings: Mutex<ListingMemory>,
     sessions: watch::Sender<usize>,
 }
 
@@ -78,15 +82,17 @@
         let budget = RetryBudget::new(RETRY_PERCENT, RETRY_FLOOR_PER_S, Instant::now());
         Arc::new(Self {
             region,
-            clock,
             metrics: EntryMetrics::default(),
             phase: watch::Sender::new(ServicePhase::Serving),
+            relay: Arc::new(RelayHub::new(&settings.host, clock.clone())),
             plan: Mutex::default(),
             groups: Mutex::default(),
             accounts: Mutex::default(),
             retries: Mutex::new(RetryPolicy::new(budget)),
+            listings: Mutex::default(),
             sessions: watch::Sender::new(0),
             settings,
+            clock,
         })
     }
 
@@ -153,6 +159,11 @@
         key
     }
 
+    /// Returns what is remembered of the lists.
+    pub(super) fn listings(&self) -> MutexGuard<'_, ListingMemory> {
+        lock(&self.listings)
+    }
+
     /// Returns the retry policy.
     pub(crate) fn retries(&self) -> MutexGuard<'_, RetryPolicy> {
         lock(&self.retries)
--- a/crates/transport/src/managed/plan_follower.rs
+++ b/crates/transport/src/managed/plan_follower.rs
@@ -8,13 +8,14 @@
 
 use super::codec::StatementCodec;
 use super::context::HostContext;
+use super::relay::ReadingKind;
 use super::seam::{HostPlatform, PlanReading, Result};
 
 /// Longest wait of one long poll. A connection that went silent delays a new
 /// version by no more than this and the slack of the client, within the 3 s
 /// that operators allow.
 const POLL_WAIT: Duration = Duration::from_millis(1_800);
-/// Pause after a failed call.
+/// Pause after a failed call, and while another host reads.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the plan until the returned future is dropped.
@@ -25,6 +26,11 @@
     let mut known_revision = None;
     let mut failing = false;
     loop {
+        if context.relay.is_served(ReadingKind::Plan) {
+            known_revision = None;
+            sleep(FAILURE_PAUSE).await;
+            continue;
+        }
         let asked_at = context.clock.now();
         match next_reading(&platform, known_revision).await {
             Ok(Some(reading)) => {
@@ -33,6 +39,7 @@
                 }
                 let has_plan = reading.plan.is_some() || context.plan().is_some();
                 known_revision = has_plan.then_some(reading.revision);
+                context.relay.publish_plan(&reading, asked_at);
                 context.observe_plan(reading.plan, asked_at);
                 if !has_plan {
                     sleep(FAILURE_PAUSE).await;
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -19,6 +19,7 @@
 use super::context::{HostContext, ServicePhase};
 use super::group_watch::watch_group;
 use super::plan_follower::follow_plan;
+use super::relay::{follow_reader, serve_relay};
 use super::seam::HostPlatform;
 use super::store_follower::{follow_hosts, follow_list, follow_reigns};
 
@@ -67,6 +68,7 @@
     pub async fn start<P: HostPlatform>(settings: EntrySettings, platform: P) -> Result<Self> {
         let callers = listen(settings.caller_address).await?;
         let metrics = listen(settings.metrics_address).await?;
+        let relay = listen(settings.relay_address).await?;
         let clock = SuspendClock;
         let context = HostContext::<K, _>::new(settings, clock);
         let mut tasks = JoinSet::new();
@@ -75,6 +77,8 @@
         tasks.spawn(follow_list(context.clone(), platform.clone()));
         tasks.spawn(follow_hosts(context.clone(), platform.clone()));
         tasks.spawn(watch_groups(context.clone(), platform));
+        tasks.spawn(serve_relay(relay, context.relay.clone()));
+        tasks.spawn(follow_reader(context.clone()));
         tasks.spawn(serve_metrics(context.clone(), metrics));
         tasks.spawn(accept_callers(context.clone(), callers));
         Ok(Self { context, tasks })
--- a/crates/transport/src/managed/seam.rs
+++ b/crates/transport/src/managed/seam.rs
@@ -3,12 +3,10 @@
 use std::future::Future;
 use std::time::Duration;
 
-use state::listing::ListedServer;
-use state::plan::RoutePlan;
-
 use crate::seam::WriteAnswer;
 
 pub use crate::seam::{Result, SeamError};
+pub use state::reading::{ListingReading, PlanReading, RejectedEntry, StoredRow, TableReading};
 
 /// Tables of the product in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -19,28 +17,6 @@
     Hosts,
 }
 
-/// A row as the store returned it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredRow {
-    /// Key.
-    pub key: String,
-    /// Revision; rises with each write.
-    pub revision: u64,
-    /// Value.
-    pub value: Vec<u8>,
-}
-
-/// Rows of a table.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TableReading {
-    /// The rows, in order of their keys.
-    pub rows: Vec<StoredRow>,
-    /// Newest revision of the store.
-    pub revision: u64,
-    /// The store's steady clock.
-    pub store_time: Duration,
-}
-
 /// A conditional write of one row.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlWrite<'a> {
@@ -54,24 +30,6 @@
     pub value: &'a [u8],
 }
 
-/// The list of backend servers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ListingReading {
-    /// Entries that could be understood.
-    pub servers: Vec<ListedServer>,
-    /// Keys of the others, with the reason.
-    pub rejected: Vec<(String, String)>,
-}
-
-/// The operators' routes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlanReading {
-    /// The newest plan, if the reading holds one.
-    pub plan: Option<RoutePlan>,
-    /// Newest revision of the store.
-    pub revision: u64,
-}
-
 /// An order to promote a member.
 #[derive(Clone, Copy, Debug)]
 pub struct PromotionOrder<'a> {
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -1,9 +1,11 @@
 //! Follows the rows that entry hosts share, and the list of backend servers.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coordination::managed::reader::ReaderHost;
 use coordination::managed::reign::ReignRow;
 use serde::{Deserialize, Serialize};
 use state::clock::MonotonicClock;
@@ -13,7 +15,10 @@
 
 use super::codec::StatementCodec;
 use super::context::HostContext;
-use super::seam::{ControlTable, ControlWrite, HostPlatform, ListingReading, TableReading};
+use super::relay::ReadingKind;
+use super::seam::{
+    ControlTable, ControlWrite, HostPlatform, ListingReading, RejectedEntry, TableReading,
+};
 
 /// Prefix of the keys of the groups' rows.
 const GROUP_PREFIX: &str = "group/";
@@ -25,10 +30,19 @@
 /// Interval of the reads of the list of backend servers: a member that is about
 /// to stop gets no new work after 3 s.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without a reading of the list that counts as an outage of the store: a
+/// lost reading and a slow one fit in.
+const LIST_GAP: Duration = Duration::from_millis(2_500);
+/// Interval at which a host that is served by another one checks that.
+const RELAY_CHECK: Duration = Duration::from_millis(50);
 /// Interval at which a host renews its own row and counts the others.
-const HOST_INTERVAL: Duration = Duration::from_secs(5);
-/// Time after which a host whose row does not change counts as dead.
-const HOST_LIFETIME: Duration = Duration::from_secs(12);
+const HOST_INTERVAL: Duration = Duration::from_secs(6);
+/// The same for the first renewal, so that hosts that start together soon know
+/// each other.
+const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time after which a host whose row does not change counts as dead: one
+/// renewal may be lost.
+const HOST_LIFETIME: Duration = Duration::from_secs(14);
 /// Time that a status question for the first row of a group may take.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -38,6 +52,10 @@
 struct HostRow {
     /// Number of renewals since the process started.
     renewals: u64,
+    /// Data centre of the host.
+    data_centre: String,
+    /// Address at which it passes readings on.
+    relay_address: SocketAddr,
 }
 
 /// Returns the key of a group's row.
@@ -52,12 +70,17 @@
 ) {
     let mut failing = false;
     loop {
+        if context.relay.is_served(ReadingKind::Reigns) {
+            sleep(RELAY_CHECK).await;
+            continue;
+        }
         let asked_at = context.clock.now();
         match platform.read_table(ControlTable::Reigns).await {
             Ok(reading) => {
                 if std::mem::take(&mut failing) {
                     log::info!(revision = reading.revision; "group rows can be read again");
                 }
+                context.relay.publish_reigns(&reading, asked_at);
                 apply_reigns(&context, &reading, asked_at);
             }
             Err(error) => {
@@ -70,7 +93,7 @@
         let groups = context.groups();
         let is_busy = groups
             .iter()
-            .any(|group| group.with(|group| group.reign.primary().is_none()));
+            .any(|group| group.with(|group| group.reign.is_changing()));
         sleep(match is_busy {
             true => REIGN_INTERVAL_BUSY,
             false => REIGN_INTERVAL,
@@ -79,7 +102,7 @@
     }
 }
 
-fn apply_reigns<K: StatementCodec, C: MonotonicClock>(
+pub(super) fn apply_reigns<K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
     reading: &TableReading,
     asked_at: Instant,
@@ -106,17 +129,18 @@
     platform: P,
 ) {
     let mut failing = false;
-    let mut returned_at = None;
-    let mut rejected = HashMap::new();
     loop {
+        if context.relay.is_served(ReadingKind::Listing) {
+            sleep(RELAY_CHECK).await;
+            continue;
+        }
         match platform.list_servers().await {
             Ok(listing) => {
                 if std::mem::take(&mut failing) {
                     log::info!("server list can be read again");
-                    returned_at = Some(context.clock.now());
                 }
-                log_rejected(&listing, &mut rejected);
-                apply_list(&context, &listing.servers, returned_at);
+                context.relay.publish_listing(&listing);
+                apply_listing(&context, &listing);
                 propose_first_rows(&context, &platform, &listing.servers).await;
             }
             Err(error) => {
@@ -130,23 +154,20 @@
     }
 }
 
-/// Logs each entry that cannot be understood once.
-fn log_rejected(listing: &ListingReading, known: &mut HashMap<String, String>) {
-    known.retain(|key, _| listing.rejected.iter().any(|(one, _)| one == key));
-    for (key, reason) in &listing.rejected {
-        if known.insert(key.clone(), reason.clone()).as_ref() != Some(reason) {
-            log::warn!(entry = key.as_str(), reason = reason.as_str(); "server entry ignored");
-        }
-    }
-}
-
-fn apply_list<K: StatementCodec, C: MonotonicClock>(
+/// Enters a reading of the list in the groups. The first one after a gap counts
+/// as the store's return.
+pub(super) fn apply_listing<K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
-    servers: &[ListedServer],
-    returned_at: Option<Instant>,
+    listing: &ListingReading,
 ) {
+    let now = context.clock.now();
+    let returned_at = {
+        let mut gaps = context.listings();
+        gaps.log_rejected(listing);
+        gaps.note_list(now)
+    };
     let mut by_group: HashMap<&str, Vec<ListedServer>> = HashMap::new();
-    for server in servers {
+    for server in &listing.servers {
         let group = by_group.entry(&server.group).or_default();
         group.push(server.clone());
     }
@@ -159,6 +180,39 @@
     }
 }
 
+/// What is remembered between readings of the list.
+#[derive(Debug, Default)]
+pub(super) struct ListingMemory {
+    listed_at: Option<Instant>,
+    returned_at: Option<Instant>,
+    /// Entries that were reported, with the reason.
+    rejected: HashMap<String, String>,
+}
+
+impl ListingMemory {
+    /// Enters a reading; returns when the store last came back.
+    fn note_list(&mut self, now: Instant) -> Option<Instant> {
+        let listed_at = self.listed_at.replace(now);
+        if listed_at.is_some_and(|at| now.saturating_duration_since(at) > LIST_GAP) {
+            self.returned_at = Some(now);
+        }
+        self.returned_at
+    }
+
+    /// Logs each entry that cannot be understood once.
+    fn log_rejected(&mut self, listing: &ListingReading) {
+        let rejected = &listing.rejected;
+        self.rejected
+            .retain(|key, _| rejected.iter().any(|entry| entry.key == *key));
+        for RejectedEntry { key, reason } in rejected {
+            let known = self.rejected.insert(key.clone(), reason.clone());
+            if known.as_ref() != Some(reason) {
+                log::warn!(entry = key.as_str(), reason = reason.as_str(); "server entry ignored");
+            }
+        }
+    }
+}
+
 /// Writes the row of each group that has none, from what its primary says.
 async fn propose_first_rows<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
@@ -227,10 +281,16 @@
         match platform.read_table(ControlTable::Hosts).await {
             Ok(reading) => {
                 let now = context.clock.now();
-                let count = count_hosts(&reading, &mut seen, now);
+                let live = live_hosts(&reading, &mut seen, now);
+                let count = u32::try_from(live.len()).unwrap_or(u32::MAX);
                 for group in context.groups() {
                     group.set_host_count(count);
                 }
+                let own = context.settings.data_centre.as_str();
+                let near = live.into_iter().filter(|(row, _)| row.data_centre == own);
+                context
+                    .relay
+                    .set_hosts(near.map(|(_, host)| host).collect());
                 renewals += 1;
                 renew(&context, &platform, &reading, renewals).await;
             }
@@ -239,25 +299,43 @@
                 log::debug!(reason = error.to_string().as_str(); "host rows cannot be read");
             }
         }
-        sleep(HOST_INTERVAL).await;
+        sleep(match renewals {
+            0 | 1 => FIRST_HOST_INTERVAL,
+            _ => HOST_INTERVAL,
+        })
+        .await;
     }
 }
 
-fn count_hosts(
+fn live_hosts(
     reading: &TableReading,
     seen: &mut HashMap<String, (u64, Instant)>,
     now: Instant,
-) -> u32 {
-    let mut count = 0;
+) -> Vec<(HostRow, ReaderHost<SocketAddr>)> {
+    let mut live = Vec::new();
     for row in &reading.rows {
         let entry = seen.entry(row.key.clone()).or_insert((row.revision, now));
         if entry.0 != row.revision {
             *entry = (row.revision, now);
         }
-        let is_live = now.saturating_duration_since(entry.1) < HOST_LIFETIME;
-        count += u32::from(is_live);
+        if now.saturating_duration_since(entry.1) >= HOST_LIFETIME {
+            continue;
+        }
+        match serde_json::from_slice::<HostRow>(&row.value) {
+            Ok(value) => {
+                let host = ReaderHost {
+                    name: row.key.clone(),
+                    address: value.relay_address,
+                };
+                live.push((value, host));
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                log::error!(key = row.key.as_str(), reason = reason.as_str(); "bad host row");
+            }
+        }
     }
-    count.max(1)
+    live
 }
 
 async fn renew<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
@@ -268,7 +346,11 @@
 ) {
     let host = &context.settings.host;
     let own = reading.rows.iter().find(|row| row.key == *host);
-    let value = encode(&HostRow { renewals });
+    let value = encode(&HostRow {
+        renewals,
+        data_centre: context.settings.data_centre.clone(),
+        relay_address: context.settings.relay_address,
+    });
     let written = platform
         .write_row(&ControlWrite {
             table: ControlTable::Hosts,
