--- /dev/null
+++ b/crates/coordination/tests/managed_relay.rs
@@ -0,0 +1,79 @@
+//! Which host reads the store, and how old a reading of another host is.
+
+use std::time::{Duration, Instant};
+
+use coordination::managed::reader::{ReaderChoice, ReaderHost};
+use coordination::managed::store_clock::StoreClock;
+use googletest::prelude::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn hosts(names: &[&str]) -> Vec<ReaderHost<()>> {
+    let host = |name: &&str| ReaderHost {
+        name: (*name).to_owned(),
+        address: (),
+    };
+    names.iter().map(host).collect()
+}
+
+fn reader_of(choice: &ReaderChoice<()>, now: Instant) -> Option<&str> {
+    choice.reader(now).map(|host| host.name.as_str())
+}
+
+#[gtest]
+fn the_host_with_the_lowest_name_reads() {
+    let now = Instant::now();
+    let mut second = ReaderChoice::new("edge-2");
+    expect_that!(reader_of(&second, now), none());
+    second.set_hosts(hosts(&["edge-3", "edge-2", "edge-1"]));
+    expect_that!(reader_of(&second, now), some(eq("edge-1")));
+    let mut first = ReaderChoice::new("edge-1");
+    first.set_hosts(hosts(&["edge-3", "edge-2", "edge-1"]));
+    expect_that!(reader_of(&first, now), none());
+}
+
+#[gtest]
+fn a_host_reads_itself_while_its_reader_fails() {
+    let now = Instant::now();
+    let mut choice = ReaderChoice::new("edge-2");
+    choice.set_hosts(hosts(&["edge-1", "edge-2"]));
+    choice.note_failure("edge-1", now);
+    expect_that!(reader_of(&choice, now + ms(2_900)), none());
+    expect_that!(reader_of(&choice, now + ms(3_000)), some(eq("edge-1")));
+}
+
+/// Guards against two hosts that wait for each other because their lists
+/// differ.
+#[gtest]
+fn a_host_that_is_asked_reads_itself() {
+    let now = Instant::now();
+    let mut choice = ReaderChoice::new("edge-2");
+    choice.set_hosts(hosts(&["edge-1", "edge-2", "edge-3"]));
+    choice.note_asked(now);
+    expect_that!(reader_of(&choice, now + ms(1_900)), none());
+    expect_that!(reader_of(&choice, now + ms(2_000)), some(eq("edge-1")));
+}
+
+/// Guards against an assurance that lasts too long at a host that got the
+/// reading from another one: the derived instant is never after the true one.
+#[gtest]
+fn a_derived_instant_is_never_late() {
+    let start = Instant::now();
+    // The store's clock showed 5 s at the host's start.
+    let true_instant = |store_ms: u64| start + ms(store_ms) - ms(5_000);
+    let mut clock = StoreClock::default();
+    expect_that!(clock.instant_of(ms(6_000)), none());
+    // Calls that took 300, 20 and 500 ms until the store read its clock.
+    for (sent_ms, delay_ms) in [(0, 300), (1_000, 20), (2_000, 500)] {
+        clock.note_call(start + ms(sent_ms), ms(5_000 + sent_ms + delay_ms));
+        for store_ms in [5_500, 6_000, 9_000] {
+            let derived = clock.instant_of(ms(store_ms)).unwrap();
+            expect_that!(derived, le(true_instant(store_ms)));
+        }
+    }
+    // The fastest call counts, whatever came after it.
+    let derived = clock.instant_of(ms(9_000)).unwrap();
+    expect_that!(true_instant(9_000) - derived, eq(ms(20)));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod cluster;
 pub mod load;
+pub mod managed;
 pub mod platform;
 pub mod relay;
 pub mod site;
--- /dev/null
+++ b/crates/standin/src/managed/member.rs
@@ -0,0 +1,299 @@
+//! Members of a group that speak the line protocol.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use serde_json::json;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use super::{lock, SiteState, GROUP};
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct LogEntry {
+    term: u64,
+    item: String,
+    data: String,
+}
+
+/// What a member holds, for tests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberSnapshot {
+    /// Identity.
+    pub id: String,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Data of all entries, in order.
+    pub data: Vec<String>,
+    /// Ids of the statements that it ran, in order.
+    pub ran: Vec<String>,
+}
+
+/// One member.
+#[derive(Debug)]
+pub(super) struct MemberState {
+    pub(super) id: String,
+    pub(super) alive: bool,
+    pub(super) draining: bool,
+    pub(super) heartbeat: u64,
+    address: SocketAddr,
+    zone: String,
+    leads: bool,
+    term: u64,
+    log: Vec<LogEntry>,
+    ran: Vec<String>,
+}
+
+impl MemberState {
+    pub(super) fn new(index: usize, address: SocketAddr) -> Self {
+        Self {
+            id: format!("i-{index}"),
+            alive: true,
+            draining: false,
+            heartbeat: 0,
+            address,
+            zone: format!("zone-{index}"),
+            leads: index == 0,
+            term: 1,
+            log: Vec::new(),
+            ran: Vec::new(),
+        }
+    }
+
+    pub(super) fn entry(&self) -> String {
+        let state = if self.draining { "draining" } else { "ready" };
+        let role = if self.leads { "primary" } else { "replica" };
+        json!({
+            "service": GROUP, "endpoint": self.address.to_string(), "zone": self.zone,
+            "version": "v1", "capacity": 4, "state": state, "coldLeftMs": 0,
+            "dbRole": role, "sequence": self.heartbeat, "born": 1,
+        })
+        .to_string()
+    }
+
+    pub(super) fn snapshot(&self) -> MemberSnapshot {
+        MemberSnapshot {
+            id: self.id.clone(),
+            leads: self.leads,
+            data: self.log.iter().map(|entry| entry.data.clone()).collect(),
+            ran: self.ran.clone(),
+        }
+    }
+
+    fn position(&self) -> String {
+        match self.log.last() {
+            Some(entry) => format!("{}.{}", entry.term, self.log.len()),
+            None => "-".to_owned(),
+        }
+    }
+
+    /// Tells whether the log holds TERM.NUMBER.
+    fn holds(&self, position: &str) -> bool {
+        let number = position.split_once('.').map(|(_, number)| number);
+        let number = number.and_then(|text| text.parse::<usize>().ok());
+        number.is_some_and(|number| number <= self.log.len())
+    }
+}
+
+/// The group.
+#[derive(Debug, Default)]
+pub(super) struct GroupState {
+    pub(super) members: Vec<MemberState>,
+    pub(super) hold: bool,
+    pub(super) promotions: Vec<u64>,
+}
+
+impl GroupState {
+    pub(super) fn primary(&self) -> usize {
+        let leading = self.members.iter().enumerate().filter(|(_, one)| one.leads);
+        let newest = leading.max_by_key(|(_, one)| one.term);
+        newest.map_or(0, |(index, _)| index)
+    }
+
+    /// Brings the replicas to the primary's log, unless replication is held.
+    pub(super) fn replicate(&mut self) {
+        if self.hold {
+            return;
+        }
+        let primary = self.primary();
+        let (log, term) = (
+            self.members[primary].log.clone(),
+            self.members[primary].term,
+        );
+        for (index, member) in self.members.iter_mut().enumerate() {
+            if index != primary && member.alive && !member.leads {
+                member.log.clone_from(&log);
+                member.term = term;
+            }
+        }
+    }
+
+    pub(super) fn promote(&mut self, id: &str) {
+        let term = self.members.iter().map(|one| one.term).max().unwrap_or(0) + 1;
+        for member in &mut self.members {
+            if member.id == id {
+                member.leads = true;
+                member.term = term;
+            }
+        }
+        self.replicate();
+    }
+}
+
+/// One connection.
+#[derive(Debug, Default)]
+struct Connection {
+    /// Writes of the open transaction; nothing outside of one.
+    transaction: Option<Vec<LogEntry>>,
+    prepared: HashMap<String, String>,
+}
+
+/// Serves a member until the future is dropped, which closes its connections.
+pub(super) async fn serve(listener: TcpListener, index: usize, state: Arc<Mutex<SiteState>>) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(talk(stream, index, state.clone()));
+    }
+}
+
+async fn talk(
+    stream: TcpStream,
+    index: usize,
+    state: Arc<Mutex<SiteState>>,
+) -> std::io::Result<()> {
+    let (input, mut output) = stream.into_split();
+    let mut lines = BufReader::new(input).lines();
+    let mut connection = Connection::default();
+    while let Some(line) = lines.next_line().await? {
+        let mut fields = line.splitn(3, ' ');
+        let (word, id, text) = (fields.next(), fields.next(), fields.next());
+        let answer = match (word, id, text) {
+            (Some("CONNECT"), Some(group), rest) => greet(&state, index, group, rest),
+            (Some("QUERY"), Some(id), Some(text)) => {
+                let mut site = lock(&state);
+                connection.run(&mut site.group, index, id, text)
+            }
+            _ => return Ok(()),
+        };
+        output.write_all(answer.as_bytes()).await?;
+        if answer.starts_with("ERROR MOVED") {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn greet(state: &Mutex<SiteState>, index: usize, group: &str, rest: Option<&str>) -> String {
+    let site = lock(state);
+    let member = &site.group.members[index];
+    let expected = rest.and_then(|rest| rest.split(' ').nth(1));
+    if group != GROUP || expected.is_some_and(|id| id != member.id) {
+        return format!("ERROR MOVED {}\r\n", member.id);
+    }
+    format!("READY I {}\r\n", member.position())
+}
+
+impl Connection {
+    fn run(&mut self, group: &mut GroupState, index: usize, id: &str, text: &str) -> String {
+        let result = self.execute(group, index, id, text);
+        let member = &group.members[index];
+        let state = if self.transaction.is_some() { "T" } else { "I" };
+        let ready = format!("READY {state} {}\r\n", member.position());
+        match result {
+            Ok(rows) => format!("{rows}COMPLETE mac-{id}\r\n{ready}"),
+            Err(word) => format!("ERROR {word} {}\r\n{ready}", member.id),
+        }
+    }
+
+    fn execute(
+        &mut self,
+        group: &mut GroupState,
+        index: usize,
+        id: &str,
+        text: &str,
+    ) -> Result<String, &'static str> {
+        let text = match text.strip_prefix("SINCE ") {
+            Some(rest) => {
+                let (position, rest) = rest.split_once(' ').ok_or("MALFORMED")?;
+                if !group.members[index].holds(position) {
+                    return Err("LAGGING");
+                }
+                rest
+            }
+            None => text,
+        };
+        let resolved = self.resolve(text)?;
+        let mut words = resolved.splitn(3, ' ');
+        let word = words.next().unwrap_or("");
+        let item = words.next().unwrap_or("").to_owned();
+        let data = words.next().unwrap_or("").to_owned();
+        let leads = group.members[index].leads;
+        match word {
+            "STATUS" => return Ok(status_row(&group.members[index])),
+            "STEPDOWN" => {
+                group.members[index].leads = false;
+                return Ok(status_row(&group.members[index]));
+            }
+            "BEGIN" if item != "READ" && !leads => return Err("READONLY"),
+            "BEGIN" => self.transaction = Some(Vec::new()),
+            "ROLLBACK" => self.transaction = None,
+            "WRITE" if !leads => return Err("READONLY"),
+            "WRITE" => {
+                group.members[index].ran.push(id.to_owned());
+                let term = group.members[index].term;
+                let entry = LogEntry { term, item, data };
+                match &mut self.transaction {
+                    Some(writes) => writes.push(entry),
+                    None => {
+                        group.members[index].log.push(entry);
+                        group.replicate();
+                    }
+                }
+            }
+            "COMMIT" => {
+                let writes = self.transaction.take().unwrap_or_default();
+                if !writes.is_empty() && !leads {
+                    return Err("READONLY");
+                }
+                group.members[index].log.extend(writes);
+                group.replicate();
+            }
+            "READ" => {
+                let member = &mut group.members[index];
+                member.ran.push(id.to_owned());
+                let found = member.log.iter().rev().find(|entry| entry.item == item);
+                return Ok(format!("ROW {}\r\n", found.map_or("", |entry| &entry.data)));
+            }
+            "SET" | "PREPARE" | "RESET" => {}
+            _ => return Err("MALFORMED"),
+        }
+        Ok(String::new())
+    }
+
+    /// Replaces a prepared statement by what it runs.
+    fn resolve(&mut self, text: &str) -> Result<String, &'static str> {
+        if let Some(rest) = text.strip_prefix("PREPARE ") {
+            let (name, kind) = rest.split_once(' ').ok_or("MALFORMED")?;
+            let kind = kind.split(' ').next().unwrap_or("READ");
+            self.prepared.insert(name.to_owned(), kind.to_owned());
+        }
+        if text == "RESET" {
+            self.prepared.clear();
+        }
+        let Some(rest) = text.strip_prefix("EXECUTE ") else {
+            return Ok(text.to_owned());
+        };
+        let (name, arguments) = rest.split_once(' ').ok_or("MALFORMED")?;
+        let kind = self.prepared.get(name).ok_or("NOSTMT")?;
+        Ok(format!("{kind} {arguments}"))
+    }
+}
+
+fn status_row(member: &MemberState) -> String {
+    let role = if member.leads { "primary" } else { "replica" };
+    let position = member.position();
+    format!("ROW {role} {} {position} 0 0 0 1\r\n", member.term)
+}
--- /dev/null
+++ b/crates/standin/src/managed/store.rs
@@ -0,0 +1,218 @@
+//! The metadata store and the promotion call over HTTP.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use axum::extract::{Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use base64::prelude::{Engine, BASE64_STANDARD};
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::{lock, SiteState, GROUP, PROMOTION_TIME};
+
+/// Interval at which a waiting reader of changes looks again.
+const FEED_POLL: Duration = Duration::from_millis(5);
+
+type Shared = State<Arc<Mutex<SiteState>>>;
+type Answer = (StatusCode, Json<Value>);
+
+/// A row with its version.
+#[derive(Debug)]
+struct RowState {
+    value: Vec<u8>,
+    version: u64,
+}
+
+/// All rows.
+#[derive(Debug, Default)]
+pub(super) struct StoreState {
+    pub(super) down: bool,
+    version: u64,
+    rows: BTreeMap<(String, String), RowState>,
+    started: Option<Instant>,
+}
+
+impl StoreState {
+    pub(super) fn put(&mut self, table: &str, key: &str, value: Vec<u8>) -> u64 {
+        self.version += 1;
+        let row = RowState {
+            value,
+            version: self.version,
+        };
+        self.rows.insert((table.to_owned(), key.to_owned()), row);
+        self.version
+    }
+
+    pub(super) fn remove(&mut self, table: &str, key: &str) {
+        self.version += 1;
+        self.rows.remove(&(table.to_owned(), key.to_owned()));
+    }
+
+    fn version_of(&self, table: &str, key: &str) -> u64 {
+        let row = self.rows.get(&(table.to_owned(), key.to_owned()));
+        row.map_or(0, |row| row.version)
+    }
+
+    fn now_ms(&mut self) -> u64 {
+        let started = *self.started.get_or_insert_with(Instant::now);
+        started.elapsed().as_millis() as u64
+    }
+
+    fn answer(&mut self, table: &str, after: u64) -> Value {
+        let rows: Vec<Value> = self
+            .rows
+            .iter()
+            .filter(|((name, _), row)| name == table && row.version > after)
+            .map(|((name, key), row)| row_value(name, key, row))
+            .collect();
+        json!({
+            "rows": rows, "hasMore": false, "rowVersion": self.version,
+            "serverTimeMs": self.now_ms(),
+        })
+    }
+}
+
+fn row_value(table: &str, key: &str, row: &RowState) -> Value {
+    json!({
+        "table": table, "part": "", "key": key,
+        "value": BASE64_STANDARD.encode(&row.value), "rowVersion": row.version,
+    })
+}
+
+/// Builds a configuration; each database is served by the stand-in's group.
+pub(super) fn configuration(version: u64, databases: &[&str]) -> String {
+    let routes: Vec<Value> = databases
+        .iter()
+        .map(|database| {
+            let kind = match *database {
+                "bounded" => "bounded_stale",
+                "own" => "read_your_writes",
+                _ => "primary",
+            };
+            json!({
+                "name": format!("r-{database}"), "hostname": database, "prefix": "/",
+                "type": kind, "timeoutMs": 1000, "targetLatencyMs": 400, "priority": 1,
+                "service": GROUP, "maxAttempts": 2, "maxStalenessMs": 1500,
+            })
+        })
+        .collect();
+    json!({
+        "version": version, "routes": routes,
+        "services": [{"name": GROUP, "healthPath": "/health", "maxConns": 40,
+            "protocol": "h1", "tls": false, "syncReplicas": 0}],
+        "limits": {"txIdleMs": 500},
+    })
+    .to_string()
+}
+
+/// Serves the store and the promotion call until the future is dropped.
+pub(super) async fn serve(listener: TcpListener, state: Arc<Mutex<SiteState>>) {
+    let router = Router::new()
+        .route("/v1/rows-get", get(rows_get))
+        .route("/v1/rows-feed", get(rows_feed))
+        .route("/v1/rows-tx", post(rows_tx))
+        .route("/failover", post(failover))
+        .with_state(state);
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("the stand-in store has ended: {error}");
+    }
+}
+
+fn unavailable() -> Answer {
+    (StatusCode::SERVICE_UNAVAILABLE, Json(json!({})))
+}
+
+async fn rows_get(State(state): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
+    let mut site = lock(&state);
+    if site.store.down {
+        return unavailable();
+    }
+    let table = query.get("table").map_or("", String::as_str);
+    (StatusCode::OK, Json(site.store.answer(table, 0)))
+}
+
+async fn rows_feed(State(state): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
+    let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+    let table = query.get("table").map_or("", String::as_str);
+    let after = number("after").unwrap_or(0);
+    let wait = Duration::from_millis(number("waitTimeoutMs").unwrap_or(0));
+    let end = Instant::now() + wait;
+    loop {
+        {
+            let mut site = lock(&state);
+            if site.store.down {
+                return unavailable();
+            }
+            let answer = site.store.answer(table, after);
+            let has_rows = answer["rows"]
+                .as_array()
+                .is_some_and(|rows| !rows.is_empty());
+            if has_rows || Instant::now() >= end {
+                return (StatusCode::OK, Json(answer));
+            }
+        }
+        sleep(FEED_POLL).await;
+    }
+}
+
+async fn rows_tx(State(state): Shared, Json(body): Json<Value>) -> Answer {
+    let mut site = lock(&state);
+    if site.store.down {
+        return unavailable();
+    }
+    let text = |value: &Value, name: &str| value[name].as_str().unwrap_or("").to_owned();
+    let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    for row in list("expected") {
+        let (table, key) = (text(&row, "table"), text(&row, "key"));
+        if site.store.version_of(&table, &key) != row["rowVersion"].as_u64().unwrap_or(0) {
+            let current = site.store.rows.get(&(table.clone(), key.clone()));
+            let rows: Vec<Value> = current
+                .map(|row| row_value(&table, &key, row))
+                .into_iter()
+                .collect();
+            return (StatusCode::PRECONDITION_FAILED, Json(json!({"rows": rows})));
+        }
+    }
+    let mut version = site.store.version;
+    for row in list("puts") {
+        let Ok(value) = BASE64_STANDARD.decode(text(&row, "value")) else {
+            return (StatusCode::BAD_REQUEST, Json(json!({"error": "value"})));
+        };
+        version = site
+            .store
+            .put(&text(&row, "table"), &text(&row, "key"), value);
+    }
+    let now = site.store.now_ms();
+    let answer = json!({"rowVersion": version, "serverTimeMs": now});
+    (StatusCode::OK, Json(answer))
+}
+
+async fn failover(State(state): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Answer {
+    let token = headers
+        .get("Fence-Token")
+        .and_then(|value| value.to_str().ok());
+    let token = token.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let id = body["id"].as_str().unwrap_or("").to_owned();
+    {
+        let mut site = lock(&state);
+        site.group.promotions.push(token);
+        let known = site
+            .group
+            .members
+            .iter()
+            .any(|one| one.id == id && one.alive);
+        if !known {
+            return (StatusCode::CONFLICT, Json(json!({})));
+        }
+    }
+    tokio::spawn(async move {
+        sleep(PROMOTION_TIME).await;
+        lock(&state).group.promote(&id);
+    });
+    (StatusCode::OK, Json(json!({})))
+}
