Let a draining primary serve until it steps down

Cause: a release of a primary paused its writes for about 1.1 s: hosts stopped using it at the announcement, and the successor waits for the end of all assurances (1 s). Change: an announced orderly change keeps the primary while it is assured; it steps down 400 ms later. A primary that says it does not lead gets no work.

--- a/crates/coordination/src/managed/dispatch.rs
+++ b/crates/coordination/src/managed/dispatch.rs
@@ -89,7 +89,12 @@
     if tried.contains(&member) {
         return PlaceChoice::None(PlaceLack::NoMember);
     }
-    if !group.reign.is_assured(now - ASSURANCE_PATIENCE) {
+    // No read of the row restores an assurance that a change has ended.
+    let patience = match group.reign.is_changing() {
+        true => Duration::ZERO,
+        false => ASSURANCE_PATIENCE,
+    };
+    if !group.reign.is_assured(now - patience) {
         return PlaceChoice::None(PlaceLack::NotAssured);
     }
     PlaceChoice::Primary { member, assured_at }
--- a/crates/coordination/src/managed/reign.rs
+++ b/crates/coordination/src/managed/reign.rs
@@ -46,6 +46,9 @@
     pub host: String,
     /// Fencing token of its duty.
     pub fencing_token: u64,
+    /// The primary steps down in order: it takes work until it refuses, as long
+    /// as it is assured.
+    pub orderly: bool,
 }
 
 /// What a member answered in a round.
@@ -93,6 +96,8 @@
     revision: u64,
     assured_until: Option<Instant>,
     successor: Option<SuccessorSight>,
+    /// The primary of `row` said that it does not lead.
+    stepped_down: bool,
 }
 
 impl ReignView {
@@ -114,7 +119,8 @@
     /// Returns the primary that takes work, if there is one.
     pub fn primary(&self) -> Option<(&str, Term)> {
         let row = self.row.as_ref()?;
-        if row.change.is_some() || self.successor.is_some() {
+        let abrupt = row.change.as_ref().is_some_and(|change| !change.orderly);
+        if abrupt || self.stepped_down || self.successor.is_some() {
             return None;
         }
         Some((&row.primary, row.term))
@@ -122,7 +128,15 @@
 
     /// Tells whether a change of primary is under way.
     pub fn is_changing(&self) -> bool {
-        self.row.is_some() && self.primary().is_none()
+        let announced = self.row.as_ref().is_some_and(|row| row.change.is_some());
+        announced || (self.row.is_some() && self.primary().is_none())
+    }
+
+    /// Enters whether a member says that it leads.
+    pub fn observe_role(&mut self, member: &str, leads: bool) {
+        if self.row.as_ref().is_some_and(|row| row.primary == member) {
+            self.stepped_down = !leads;
+        }
     }
 
     /// Returns the instant up to which the primary is certain.
@@ -153,6 +167,7 @@
             .is_some_and(|known| known.primary == row.primary && known.term == row.term);
         if !same_reign {
             self.assured_until = None;
+            self.stepped_down = false;
         }
         self.row = Some(row.clone());
         if self
@@ -241,6 +256,7 @@
         };
         self.successor = None;
         self.assured_until = None;
+        self.stepped_down = false;
         let event = ReignEvent::Settled {
             primary: row.primary.clone(),
             term: row.term,
--- a/crates/coordination/tests/managed_dispatch.rs
+++ b/crates/coordination/tests/managed_dispatch.rs
@@ -426,3 +426,36 @@
     let choice = choose_read(&group, &need(BOUNDED, now), &place("dc-1"), now);
     expect_that!(choice, eq(PlaceChoice::None(PlaceLack::NoPrimary)));
 }
+
+/// Load pattern: a primary is about to stop. Writes go on there until it steps
+/// down, so that the pause is that of the promotion alone.
+#[gtest]
+fn an_orderly_change_keeps_the_primary_until_it_steps_down() {
+    let now = Instant::now();
+    let mut group = group_of_three(now);
+    let mut row = reign("a", 1);
+    row.change = Some(announcement());
+    row.change.as_mut().unwrap().orderly = true;
+    group.observe_row(&row, 5, now + ms(400), now + ms(410));
+    let serves = |group: &ManagedGroup, at| member_of(choose_primary(group, None, &[], at));
+    expect_that!(serves(&group, now + ms(500)), eq(group.find("a")));
+    // The announcement has ended the assurances; none is added.
+    expect_that!(serves(&group, now + ASSURANCE + ms(1)), none());
+    group.reign.observe_role("a", false);
+    expect_that!(serves(&group, now + ms(500)), none());
+    expect_that!(group.reign.is_changing(), eq(true));
+}
+
+/// Guards against a primary that refuses writes without a change under way: it
+/// is replaced, and used again if it turns out to lead.
+#[gtest]
+fn a_primary_that_says_it_does_not_lead_gets_no_work() {
+    let now = Instant::now();
+    let mut group = group_of_three(now);
+    group.reign.observe_role("b", false);
+    expect_that!(group.primary(), eq(group.find("a")));
+    group.reign.observe_role("a", false);
+    expect_that!(group.primary(), none());
+    group.reign.observe_role("a", true);
+    expect_that!(group.primary(), eq(group.find("a")));
+}
--- a/crates/coordination/tests/support/managed.rs
+++ b/crates/coordination/tests/support/managed.rs
@@ -41,6 +41,7 @@
     AnnouncedChange {
         host: "host-1".to_owned(),
         fencing_token: 1,
+        orderly: false,
     }
 }
 
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -24,6 +24,10 @@
 
 /// Key of the duty's row.
 const DUTY_KEY: &str = "duty";
+/// Time from the announcement of an orderly change to the step-down. With a
+/// promotion of some hundred milliseconds behind it, the successor leads about
+/// when the last assurance ends; hosts still assure the primary until then.
+const ORDERLY_NOTICE: Duration = Duration::from_millis(400);
 /// Wait beyond the last assurance before a promotion whose former primary did
 /// not step down: a commit may be on its way to it.
 const FENCE_MARGIN: Duration = Duration::from_millis(100);
@@ -145,6 +149,9 @@
         let duty = self.take_duty().await?;
         let change = self.announce(group, duty, reason).await?;
         let former = group.with(|group| group.find(&change.former.primary));
+        if reason == ChangeReason::Draining {
+            self.wait_until(change.announced_at + ORDERLY_NOTICE).await;
+        }
         let stepped = self
             .step_down(group, former, change.former.term.next())
             .await;
@@ -209,6 +216,7 @@
             change: Some(AnnouncedChange {
                 host: self.host.clone(),
                 fencing_token: duty.fencing_token,
+                orderly: reason == ChangeReason::Draining,
             }),
             ..former.clone()
         };
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -14,6 +14,7 @@
 use state::keys::MemberKey;
 use state::listing::ListedServer;
 use state::log::Term;
+use state::member::MemberRole;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
@@ -337,7 +338,10 @@
         let row = answer.rows.first().filter(|_| answer.outcome.is_ok());
         let status = row.map(|row| K::parse_status(row));
         match status {
-            Some(Ok(status)) => Ok(status),
+            Some(Ok(status)) => {
+                self.observe_role(key, status.role == MemberRole::Primary);
+                Ok(status)
+            }
             Some(Err(error)) => {
                 let reason = error.to_string();
                 log::error!(group = self.name.as_str(), reason = reason.as_str(); "bad status");
@@ -348,6 +352,15 @@
         }
     }
 
+    /// Enters whether a member says that it leads.
+    pub(crate) fn observe_role(&self, key: MemberKey, leads: bool) {
+        self.with(|group| {
+            if let Some(member) = group.members.get(key) {
+                group.reign.observe_role(&member.server.id, leads);
+            }
+        });
+    }
+
     /// Waits until the primary is assured for `instant`; returns whether it is
     /// by the deadline.
     pub(crate) async fn await_assurance(&self, instant: Instant, deadline: Instant) -> bool {
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -495,7 +495,10 @@
                     .with(|group| group.note_lag(member, position, now));
                 AttemptFailure::not_sent(ResultCode::NoFreshMember, &detail)
             }
-            MemberRefusal::ReadOnly => AttemptFailure::no_route(ResultCode::NoPrimary, &detail),
+            MemberRefusal::ReadOnly => {
+                self.group.observe_role(member, false);
+                AttemptFailure::no_route(ResultCode::NoPrimary, &detail)
+            }
             MemberRefusal::Busy => {
                 if !self.order.needs_primary() {
                     tried.push(member);
