--- a/crates/coordination/tests/managed_dispatch.rs
+++ b/crates/coordination/tests/managed_dispatch.rs
@@ -505,7 +505,7 @@
         let deadline = start + ms(case.deadline_after);
         let waits = may_await_primary(&group, deadline, now);
         expect_that!(waits, eq(case.waits), "{}", case.name);
-        settle(&mut group, "b", 2, start + ms(1_500));
+        group.observe_row(&reign("b", 2), 6, start + ms(1_500), start + ms(1_500));
         group.reign.observe_lack(start + ms(1_500));
         expect_that!(group.reign.lacking_since(), none());
     }
