--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -149,6 +149,8 @@
     /// Writes of the open transaction; nothing outside of one.
     transaction: Option<Vec<LogEntry>>,
     prepared: HashMap<String, String>,
+    /// Session values; `READ @name` returns one.
+    values: HashMap<String, String>,
 }
 
 /// Serves a member until the future is dropped, which closes its connections.
@@ -261,13 +263,21 @@
                 group.members[index].log.extend(writes);
                 group.replicate();
             }
+            "READ" if item.starts_with('@') => {
+                let value = self.values.get(&item[1..]);
+                return Ok(format!("ROW {}\r\n", value.map_or("", String::as_str)));
+            }
             "READ" => {
                 let member = &mut group.members[index];
                 member.ran.push(id.to_owned());
                 let found = member.log.iter().rev().find(|entry| entry.item == item);
                 return Ok(format!("ROW {}\r\n", found.map_or("", |entry| &entry.data)));
             }
-            "SET" | "PREPARE" | "RESET" => {}
+            "SET" => {
+                self.values.insert(item, data);
+            }
+            "PREPARE" => {}
+            "RESET" => self.values.clear(),
             _ => return Err("MALFORMED"),
         }
         Ok(String::new())
