--- a/crates/cassiactl/src/settings.rs
+++ b/crates/cassiactl/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::Deserialize;
-use state::check::{CheckProblem, ProblemList};
+use state::check::{parse_settings, CheckProblem, ProblemList};
 use state::settings::{PlatformSettings, UserCredential};
 
 /// Default port of the console.
@@ -47,13 +47,7 @@
 impl OperatorSettings {
     /// Parses and validates settings.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self = toml::from_str(text).map_err(|error| {
-            vec![CheckProblem::new(
-                "settings",
-                error.to_string().trim_end(),
-                "TOML settings of the documented shape",
-            )]
-        })?;
+        let settings: Self = parse_settings(text)?;
         let mut list = ProblemList::default();
         list.require_range(
             "platform.timeout_ms",
--- a/crates/state/src/check.rs
+++ b/crates/state/src/check.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use serde::de::DeserializeOwned;
+
 /// One problem: where it is, what was found and what is allowed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CheckProblem {
@@ -77,3 +79,14 @@
         Err(self.problems)
     }
 }
+
+/// Parses a settings file in TOML.
+pub fn parse_settings<T: DeserializeOwned>(text: &str) -> Result<T, Vec<CheckProblem>> {
+    toml::from_str(text).map_err(|error| {
+        vec![CheckProblem::new(
+            "settings",
+            error.to_string().trim_end(),
+            "TOML settings of the documented shape",
+        )]
+    })
+}
--- a/crates/state/src/settings.rs
+++ b/crates/state/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::check::{CheckProblem, ProblemList};
+use crate::check::{parse_settings, CheckProblem, ProblemList};
 
 /// Result of parsing settings.
 pub type Result<T> = std::result::Result<T, Vec<CheckProblem>>;
@@ -85,13 +85,7 @@
 impl DaemonSettings {
     /// Parses and validates settings.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self = toml::from_str(text).map_err(|error| {
-            vec![CheckProblem::new(
-                "settings",
-                error.to_string().trim_end(),
-                "TOML settings of the documented shape",
-            )]
-        })?;
+        let settings: Self = parse_settings(text)?;
         settings.validate()?;
         Ok(settings)
     }
--- a/crates/transport/src/managed.rs
+++ b/crates/transport/src/managed.rs
@@ -20,3 +20,4 @@
 mod session;
 mod statement;
 mod store_follower;
+mod transaction;
--- a/crates/transport/src/managed/session.rs
+++ b/crates/transport/src/managed/session.rs
@@ -12,10 +12,9 @@
 use bytes::BytesMut;
 use protocol::result_code::ResultCode;
 use protocol::statement::{
-    CallerMessage, CallerStatement, MemberRefusal, PreparedShape, StatementAccess, TransactionState,
+    CallerMessage, CallerStatement, PreparedShape, StatementAccess, TransactionState,
 };
 use state::clock::MonotonicClock;
-use state::keys::MemberKey;
 use state::log::LogPosition;
 use state::plan::AccessRoute;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -25,47 +24,19 @@
 
 use super::codec::{CodecError, StatementCodec};
 use super::context::{HostContext, ServicePhase, SessionGuard};
-use super::group_runtime::GroupRuntime;
-use super::link::{LinkAnswer, LinkSetup, MemberLink};
+use super::link::LinkAnswer;
 use super::statement::{
-    ask, refusal_name, InFlight, Result, StatementBody, StatementFailure, StatementOrder,
-    StatementRunner, TransactionStart,
+    fail, log_placed, Result, StatementBody, StatementFailure, StatementOrder, StatementRunner,
 };
-use crate::pool::PooledConnection;
+use super::transaction::{OpenTransaction, SessionView, TransactionHealth};
 
 /// Space reserved for one read from the socket.
 const READ_BYTES: usize = 4 << 10;
 /// Longest wait for the greeting of a new connection.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause before a statement that a busy member refused is sent again on the
-/// connection of its transaction.
-const BUSY_PAUSE: Duration = Duration::from_millis(10);
 /// Idle time that a session of a draining host gets for its next statement.
 const DRAIN_PATIENCE: Duration = Duration::from_millis(200);
 
-/// A transaction of the caller.
-#[derive(Debug)]
-struct OpenTransaction<K: StatementCodec, C> {
-    route: AccessRoute,
-    group: Arc<GroupRuntime<K, C>>,
-    read_only: bool,
-    began_at: Instant,
-    /// The connection, from the first statement on.
-    link: Option<(MemberKey, PooledConnection<MemberLink<K>>)>,
-    wrote: bool,
-    state: TransactionHealth,
-}
-
-/// Whether a transaction can go on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum TransactionHealth {
-    Good,
-    /// It ended by itself, and the caller does not know yet.
-    Lost(&'static str),
-    /// The caller knows that it failed.
-    Failed,
-}
-
 /// What is known of the caller's message.
 enum Received {
     Message(CallerMessage),
@@ -382,15 +353,8 @@
         }
         let route = self.find_route(&self.database)?;
         let group = self.context.group(&route.group);
-        self.transaction = Some(OpenTransaction {
-            route,
-            group,
-            read_only,
-            began_at: self.context.clock.now(),
-            link: None,
-            wrote: false,
-            state: TransactionHealth::Good,
-        });
+        let began_at = self.context.clock.now();
+        self.transaction = Some(OpenTransaction::new(route, group, read_only, began_at));
         Ok(None)
     }
 
@@ -456,220 +420,39 @@
         let Some(transaction) = &mut self.transaction else {
             return fail(ResultCode::Malformed, "no transaction is open");
         };
-        if transaction.read_only && access == StatementAccess::Write {
-            return fail(ResultCode::ReadOnlyTransaction, "");
-        }
-        let deadline = Instant::now() + transaction.route.statement_timeout;
-        let answer = match &mut transaction.link {
-            Some((member, link)) => {
-                let setup = LinkSetup {
-                    values: &self.values,
-                    shape: match body {
-                        StatementBody::Execute { shape, .. } => Some(shape),
-                        StatementBody::Text(_) | StatementBody::Commit => None,
-                    },
-                    begin: None,
-                };
-                let _in_flight = InFlight::enter(&transaction.group, *member);
-                let answer = continue_transaction(link, &setup, id, body, deadline).await?;
-                let member_name = link.pool().name();
-                self.context
-                    .metrics
-                    .count_member(member_name, refusal_name(&answer));
-                answer
-            }
-            None => {
-                let order = StatementOrder {
-                    id,
-                    body,
-                    access,
-                    route: &transaction.route,
-                    start: Some(TransactionStart {
-                        read_only: transaction.read_only,
-                    }),
-                    began_at: transaction.began_at,
-                    deadline,
-                    values: &self.values,
-                    own_position: self.own_position,
-                };
-                let runner = StatementRunner {
-                    context: &self.context,
-                    group: &transaction.group,
-                    order: &order,
-                };
-                let placed = runner.run().await?;
-                let (group, attempts) = (&transaction.group, placed.attempts);
-                log_placed(id, group, placed.member, &placed.answer, attempts);
-                transaction.link = Some((placed.member, placed.link));
-                placed.answer
-            }
+        let session = SessionView {
+            values: &self.values,
+            own_position: self.own_position,
         };
-        transaction.wrote |= access == StatementAccess::Write;
-        Ok(answer)
+        transaction
+            .run(&self.context, &session, id, access, body)
+            .await
     }
 
     async fn commit(&mut self, id: &str) -> Result<LinkAnswer> {
-        let health = self.transaction.as_ref().map(|one| one.state.clone());
-        match health {
-            None => return fail(ResultCode::Malformed, "no transaction is open"),
-            Some(TransactionHealth::Good) => {}
-            Some(TransactionHealth::Lost(reason)) => {
-                self.transaction = None;
-                return fail(ResultCode::TransactionLost, reason);
-            }
-            Some(TransactionHealth::Failed) => {
-                self.transaction = None;
+        let Some(mut transaction) = self.transaction.take() else {
+            return fail(ResultCode::Malformed, "no transaction is open");
+        };
+        match transaction.state {
+            TransactionHealth::Good => {}
+            TransactionHealth::Lost(reason) => return fail(ResultCode::TransactionLost, reason),
+            TransactionHealth::Failed => {
                 return fail(ResultCode::TransactionLost, "the transaction has failed");
             }
         }
-        let began = self
-            .transaction
-            .as_ref()
-            .is_some_and(|one| one.link.is_some());
-        if !began {
-            // An empty transaction is begun and committed in one.
-            let answer = self
-                .run_in_transaction(id, StatementAccess::Read, StatementBody::Commit)
-                .await;
-            self.transaction = None;
-            return answer;
-        }
-        let Some(transaction) = self.transaction.take() else {
-            return fail(ResultCode::Malformed, "no transaction is open");
-        };
-        let answer = self.commit_begun(id, transaction).await?;
-        Ok(answer)
-    }
-
-    async fn commit_begun(
-        &mut self,
-        id: &str,
-        mut transaction: OpenTransaction<K, C>,
-    ) -> Result<LinkAnswer> {
-        let Some((member, mut link)) = transaction.link.take() else {
-            return fail(ResultCode::TransactionLost, "the connection was lost");
-        };
         let wrote = transaction.wrote;
-        let deadline = Instant::now() + transaction.route.statement_timeout;
-        let lost = |detail: &str| {
-            let code = match wrote {
-                true => ResultCode::OutcomeUnknown,
-                false => ResultCode::TransactionLost,
-            };
-            StatementFailure::new(code, detail)
+        let session = SessionView {
+            values: &self.values,
+            own_position: self.own_position,
         };
-        let _in_flight = InFlight::enter(&transaction.group, member);
-        loop {
-            let sent_at = transaction.group.send_instant();
-            let answer = match ask(&mut link, id, None, StatementBody::Commit, deadline).await {
-                Ok(answer) => answer,
-                Err(error) => {
-                    transaction.group.note_failure(member, &error, sent_at);
-                    return Err(lost(&error.to_string()));
-                }
-            };
-            self.context
-                .metrics
-                .count_member(link.pool().name(), refusal_name(&answer));
-            match &answer.outcome {
-                Ok(_) => {
-                    transaction
-                        .group
-                        .note_answer(member, &answer, sent_at.belief);
-                    if wrote {
-                        let instant = self.context.clock.now();
-                        if !transaction.group.await_assurance(instant, deadline).await {
-                            return Err(lost("the primary could not be assured"));
-                        }
-                        self.own_position = answer.position.or(self.own_position);
-                    }
-                    log_placed(id, &transaction.group, member, &answer, 1);
-                    return Ok(answer);
-                }
-                Err((MemberRefusal::Busy, _)) if Instant::now() + BUSY_PAUSE < deadline => {
-                    sleep(BUSY_PAUSE).await;
-                }
-                Err((refusal, text)) => {
-                    let detail = format!("member answered {}: {text}", refusal.name());
-                    if refusal.is_not_run() || *refusal == MemberRefusal::Aborted {
-                        return fail(ResultCode::TransactionLost, &detail);
-                    }
-                    return Err(lost(&detail));
-                }
-            }
-        }
-    }
-}
-
-/// Sends a further statement of a transaction on its connection.
-async fn continue_transaction<K: StatementCodec>(
-    link: &mut PooledConnection<MemberLink<K>>,
-    setup: &LinkSetup<'_>,
-    id: &str,
-    body: StatementBody<'_>,
-    deadline: Instant,
-) -> Result<LinkAnswer> {
-    let lost = |detail: &str| StatementFailure::new(ResultCode::TransactionLost, detail);
-    if !link.can_hold(setup) {
-        return Err(lost("session values were forgotten inside a transaction"));
-    }
-    let prepared = link.prepare(setup, deadline).await;
-    match prepared {
-        Ok(None) => {}
-        Ok(Some(refusal)) => return Err(lost(refusal.name())),
-        Err(error) => return Err(lost(&error.to_string())),
-    }
-    loop {
-        let answer = ask(link, id, None, body, deadline).await;
-        let answer = answer.map_err(|error| lost(&error.to_string()))?;
-        match &answer.outcome {
-            Ok(_) => return Ok(answer),
-            Err((MemberRefusal::Busy, _))
-                if link.state() == TransactionState::Open
-                    && Instant::now() + BUSY_PAUSE < deadline =>
-            {
-                sleep(BUSY_PAUSE).await;
-            }
-            Err((refusal, text)) => {
-                let code = match refusal {
-                    MemberRefusal::Failed => ResultCode::StatementFailed,
-                    _ => ResultCode::TransactionLost,
-                };
-                let detail = format!("member answered {}: {text}", refusal.name());
-                return fail(code, &detail);
-            }
+        let answer = transaction.commit(&self.context, &session, id).await?;
+        if wrote {
+            self.own_position = answer.position.or(self.own_position);
         }
+        Ok(answer)
     }
 }
 
-fn fail<T>(code: ResultCode, detail: &str) -> Result<T> {
-    Err(StatementFailure::new(code, detail))
-}
-
-fn log_placed<K: StatementCodec, C: MonotonicClock>(
-    id: &str,
-    group: &GroupRuntime<K, C>,
-    member: MemberKey,
-    answer: &LinkAnswer,
-    attempts: u32,
-) {
-    let (member, term) = group.with(|group| {
-        let member = group.members.get(member);
-        let name = member.map_or_else(String::new, |member| member.server.id.clone());
-        (name, group.reign.term().0)
-    });
-    let position = answer.position.unwrap_or_default();
-    log::info!(
-        request = id,
-        group = group.name.as_str(),
-        member = member.as_str(),
-        term,
-        position = position.to_string().as_str(),
-        attempts;
-        "statement placed"
-    );
-}
-
 /// Returns when the session must end: at once when the host stops, after a
 /// short wait for a next statement when it drains.
 async fn stop_signal(phase: &mut watch::Receiver<ServicePhase>, is_busy: bool) {
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// Fails a statement.
+pub(super) fn fail<T>(code: ResultCode, detail: &str) -> Result<T> {
+    Err(StatementFailure::new(code, detail))
+}
+
 /// What is sent to a member.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum StatementBody<'a> {
@@ -71,7 +76,8 @@
 }
 
 impl<'a> StatementBody<'a> {
-    fn shape(&self) -> Option<&'a PreparedShape> {
+    /// Returns what a prepared statement runs.
+    pub(super) fn shape(&self) -> Option<&'a PreparedShape> {
         match *self {
             Self::Execute { shape, .. } => Some(shape),
             Self::Text(_) | Self::Commit => None,
@@ -576,6 +582,31 @@
     link.ask(&statement, deadline).await
 }
 
+/// Logs which member answered a statement.
+pub(super) fn log_placed<K: StatementCodec, C: MonotonicClock>(
+    id: &str,
+    group: &GroupRuntime<K, C>,
+    member: MemberKey,
+    answer: &LinkAnswer,
+    attempts: u32,
+) {
+    let (member, term) = group.with(|group| {
+        let member = group.members.get(member);
+        let name = member.map_or_else(String::new, |member| member.server.id.clone());
+        (name, group.reign.term().0)
+    });
+    let position = answer.position.unwrap_or_default();
+    log::info!(
+        request = id,
+        group = group.name.as_str(),
+        member = member.as_str(),
+        term,
+        position = position.to_string().as_str(),
+        attempts;
+        "statement placed"
+    );
+}
+
 /// Returns the name of an answer's outcome for the metrics.
 pub(super) fn refusal_name(answer: &LinkAnswer) -> &'static str {
     match &answer.outcome {
