--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -11,6 +11,12 @@
 /// Result of parsing settings.
 pub type Result<T> = std::result::Result<T, Vec<CheckProblem>>;
 
+/// Shortest grace: a host leaves the platform's rotation within 2.5 s, but a
+/// shorter one still lets statements in flight end.
+const GRACE_MIN_S: f64 = 1.0;
+/// Longest grace; a longer one is most likely a mistake of units.
+const GRACE_MAX_S: f64 = 600.0;
+
 /// Settings file of an entry host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -39,16 +45,12 @@
     pub descriptor_limit: u64,
 }
 
-/// Where the metadata store is and how it is paced.
+/// Where the metadata store is.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct StoreSettings {
     /// Address of the store.
     pub address: SocketAddr,
-    /// Read calls that it takes from all hosts together; 1 to 1,000,000 a second.
-    pub reads_per_s: f64,
-    /// Write calls that it takes from all hosts together; 1 to 1,000,000 a second.
-    pub writes_per_s: f64,
 }
 
 impl EntrySettings {
@@ -69,16 +71,10 @@
             let found = format!("{:?} without a region", self.data_centre);
             list.push("data_centre", &found, "a data centre of [regions]");
         }
-        require_number(&mut list, "grace_s", self.grace_s, 1.0, 600.0);
-        let store = &self.store;
-        require_number(&mut list, "store.reads_per_s", store.reads_per_s, 1.0, 1e6);
-        require_number(
-            &mut list,
-            "store.writes_per_s",
-            store.writes_per_s,
-            1.0,
-            1e6,
-        );
+        if !(GRACE_MIN_S..=GRACE_MAX_S).contains(&self.grace_s) {
+            let allowed = format!("{GRACE_MIN_S} to {GRACE_MAX_S}");
+            list.push("grace_s", &self.grace_s.to_string(), &allowed);
+        }
         list.require_range("descriptor_limit", self.descriptor_limit, 64, 10_000_000);
         list.finish(())
     }
@@ -90,9 +86,3 @@
             .map_or(data_centre, String::as_str)
     }
 }
-
-fn require_number(list: &mut ProblemList, path: &str, value: f64, low: f64, high: f64) {
-    if !(low..=high).contains(&value) {
-        list.push(path, &value.to_string(), &format!("{low} to {high}"));
-    }
-}
