Tie an assurance to the reign of its statement

A write that waits for its assurance was given that of the successor when the new row, or the successor that members showed, came into force before its deadline; it may have been committed after the promotion. Change: the wait ends as lost when another term is in force than when the member was chosen. A test without network.

--- a/crates/coordination/src/managed/reign.rs
+++ b/crates/coordination/src/managed/reign.rs
@@ -60,6 +60,17 @@
     pub answer: Option<(MemberRole, Term)>,
 }
 
+/// Whether an answer of the primary of a term counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AssuranceState {
+    /// It does.
+    Given,
+    /// It may, after a later observation.
+    Pending,
+    /// It never will: another reign has begun.
+    Lost,
+}
+
 /// What changed by an observation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReignEvent {
@@ -166,6 +177,18 @@
         self.assured_until.is_some_and(|until| until >= instant)
     }
 
+    /// Tells whether the primary of `term` was the only one at an instant. An
+    /// assurance of a later primary says nothing about its predecessor.
+    pub fn assurance_of(&self, term: Term, instant: Instant) -> AssuranceState {
+        if self.term() != term {
+            return AssuranceState::Lost;
+        }
+        match self.is_assured(instant) {
+            true => AssuranceState::Given,
+            false => AssuranceState::Pending,
+        }
+    }
+
     /// Enters a read of the row that was asked at `asked_at`.
     pub fn observe_row(
         &mut self,
--- a/crates/coordination/tests/managed_dispatch.rs
+++ b/crates/coordination/tests/managed_dispatch.rs
@@ -9,7 +9,7 @@
     choose_primary, choose_read, may_await_primary, HostPlace, PlaceChoice, PlaceLack, ReadNeed,
 };
 use coordination::managed::group::{ListEvent, ManagedGroup, ReachFailure, RELIST_GRACE};
-use coordination::managed::reign::{RoundReply, ASSURANCE};
+use coordination::managed::reign::{AssuranceState, RoundReply, ASSURANCE};
 use googletest::prelude::*;
 use managed_support::{announcement, answer_primary, group_of_three, ms, reign, server, settle};
 use state::keys::MemberKey;
@@ -510,3 +510,18 @@
         expect_that!(group.reign.lacking_since(), none());
     }
 }
+
+/// Guards against a write of a former primary that is acknowledged on the
+/// assurance of its successor: it may have been committed after the promotion
+/// (hunt on primary-cut-thrice, seed 196646806371, rule ONE).
+#[gtest]
+fn an_assurance_of_a_successor_does_not_count_for_its_predecessor() {
+    let start = Instant::now();
+    let mut group = group_of_three(start);
+    let answered_at = start + ASSURANCE + ms(500);
+    let state = |group: &ManagedGroup| group.reign.assurance_of(Term(1), answered_at);
+    expect_that!(state(&group), eq(AssuranceState::Pending));
+    settle(&mut group, "b", 2, answered_at + ms(300));
+    expect_that!(group.reign.is_assured(answered_at), eq(true));
+    expect_that!(state(&group), eq(AssuranceState::Lost));
+}
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -7,7 +7,7 @@
 
 use coordination::admission::AdmissionSettings;
 use coordination::managed::group::{ListEvent, ManagedGroup, ReachFailure};
-use coordination::managed::reign::{ReignEvent, ReignRow};
+use coordination::managed::reign::{AssuranceState, ReignEvent, ReignRow};
 use protocol::statement::{MemberStatement, MemberStatus};
 use slotmap::SecondaryMap;
 use state::clock::MonotonicClock;
@@ -361,13 +361,20 @@
         });
     }
 
-    /// Waits until the primary is assured for `instant`; returns whether it is
-    /// by the deadline.
-    pub(crate) async fn await_assurance(&self, instant: Instant, deadline: Instant) -> bool {
+    /// Waits until the primary of `term` is assured for `instant`; returns
+    /// whether it is by the deadline.
+    pub(crate) async fn await_assurance(
+        &self,
+        term: Term,
+        instant: Instant,
+        deadline: Instant,
+    ) -> bool {
         let mut changes = self.subscribe();
         loop {
-            if self.with(|group| group.reign.is_assured(instant)) {
-                return true;
+            match self.with(|group| group.reign.assurance_of(term, instant)) {
+                AssuranceState::Given => return true,
+                AssuranceState::Lost => return false,
+                AssuranceState::Pending => {}
             }
             match timeout_at(deadline.into(), changes.changed()).await {
                 Ok(Ok(())) => {}
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -16,7 +16,7 @@
 };
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
-use state::log::LogPosition;
+use state::log::{LogPosition, Term};
 use state::plan::AccessRoute;
 use tokio::time::{sleep, timeout_at};
 
@@ -145,6 +145,8 @@
     pub(super) answer: LinkAnswer,
     pub(super) link: PooledConnection<MemberLink<K>>,
     pub(super) member: MemberKey,
+    /// Term in force when the member was chosen.
+    pub(super) term: Term,
     pub(super) attempts: u32,
 }
 
@@ -305,6 +307,7 @@
         &self,
         tried: &mut Vec<MemberKey>,
     ) -> std::result::Result<PlacedAnswer<K>, AttemptFailure> {
+        let term = self.group.with(|group| group.reign.term());
         let (member, since, assured_at) = match self.choose(tried) {
             PlaceChoice::Replica { member, since } => (member, Some(since), None),
             PlaceChoice::Primary { member, assured_at } => (member, None, Some(assured_at)),
@@ -344,7 +347,7 @@
             let instant = instant.unwrap_or_else(|| self.context.clock.now());
             if !self
                 .group
-                .await_assurance(instant, self.order.deadline)
+                .await_assurance(term, instant, self.order.deadline)
                 .await
             {
                 return Err(AttemptFailure::sent(
@@ -358,6 +361,7 @@
             answer,
             link,
             member,
+            term,
             attempts: 0,
         })
     }
--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -8,7 +8,7 @@
 use protocol::statement::{MemberRefusal, StatementAccess, TransactionState};
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
-use state::log::LogPosition;
+use state::log::{LogPosition, Term};
 use state::plan::AccessRoute;
 use tokio::time::sleep;
 
@@ -52,6 +52,8 @@
     began_at: Instant,
     /// The connection, from the first statement on.
     pub(super) link: Option<(MemberKey, PooledConnection<MemberLink<K>>)>,
+    /// Term in force when the member was chosen.
+    term: Term,
     pub(super) wrote: bool,
     pub(super) state: TransactionHealth,
 }
@@ -70,6 +72,7 @@
             read_only,
             began_at,
             link: None,
+            term: Term::default(),
             wrote: false,
             state: TransactionHealth::Good,
         }
@@ -130,6 +133,7 @@
             &placed.answer,
             placed.attempts,
         );
+        self.term = placed.term;
         self.link = Some((placed.member, placed.link));
         Ok(placed.answer)
     }
@@ -206,7 +210,12 @@
     /// A commit that wrote counts only at a primary that is still the only one.
     async fn confirm(&self, context: &HostContext<K, C>, deadline: Instant) -> Result<()> {
         let answered_at = context.clock.now();
-        if !self.wrote || self.group.await_assurance(answered_at, deadline).await {
+        let group = &self.group;
+        if !self.wrote
+            || group
+                .await_assurance(self.term, answered_at, deadline)
+                .await
+        {
             return Ok(());
         }
         Err(self.lost_commit("the primary could not be assured"))
