--- a/crates/coordination/src/managed.rs
+++ b/crates/coordination/src/managed.rs
@@ -7,6 +7,7 @@
 //! these modules come from a clock that also counts suspension.
 
 pub mod change;
+pub mod change_steps;
 pub mod dispatch;
 pub mod duty;
 pub mod group;
--- /dev/null
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -0,0 +1,712 @@
+//! An entry host of the model: the decisions, driven as the runtime drives them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use coordination::managed::change::{reason_to_change, SurveyReply};
+use coordination::managed::change_steps::{ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome};
+use coordination::managed::dispatch::{
+    choose_primary, choose_read, HostPlace, PlaceChoice, ReadNeed,
+};
+use coordination::managed::duty::DutyReading;
+use coordination::managed::group::{ManagedGroup, ReachFailure};
+use coordination::managed::reign::{AssuranceState, ReignRow, RoundReply};
+use state::keys::MemberKey;
+use state::log::{LogPosition, Term};
+use state::member::MemberRole;
+use state::plan::ReadFreshness;
+
+use super::site::member_index;
+use super::{Answer, Decision, Delivery, Endpoint, MemberRequest, Outbox, Request, RowValue};
+
+const ROWS_INTERVAL: Duration = Duration::from_millis(400);
+const ROWS_INTERVAL_BUSY: Duration = Duration::from_millis(100);
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+const LIST_GAP: Duration = Duration::from_millis(2_500);
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+const ASSURANCE_RESERVE: Duration = Duration::from_millis(200);
+const WATERMARK_AGE: Duration = Duration::from_millis(600);
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(800);
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+const STATEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+pub const SESSIONS: usize = 4;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timer {
+    Rows,
+    List,
+    Watch,
+    /// The wait of a change of primary has ended.
+    ChangeWait,
+    CallTimeout(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum OperationKind {
+    Write { write: u64 },
+    Read { read: u64, freshness: ReadFreshness },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Operation {
+    pub kind: OperationKind,
+    pub session: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum CallKind {
+    Rows,
+    List,
+    ReadDuty,
+    ChangeWrite {
+        reign: bool,
+    },
+    Order,
+    SuccessorStatus(MemberKey),
+    StepDown(MemberKey),
+    Survey(MemberKey),
+    Round(MemberKey),
+    Probe(MemberKey),
+    Statement {
+        operation: Operation,
+        member: MemberKey,
+        since: Option<LogPosition>,
+        term: Term,
+        /// Instant for which the primary must be assured.
+        assured_at: Option<Instant>,
+        by_primary: bool,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenCall {
+    kind: CallKind,
+    sent_at: Instant,
+}
+
+#[derive(Debug)]
+struct Round {
+    asked_at: Instant,
+    waiting: usize,
+    replies: Vec<(String, Option<(MemberRole, Term)>)>,
+}
+
+#[derive(Debug)]
+struct RunningChange {
+    procedure: ChangeProcedure,
+    waiting: usize,
+    replies: Vec<SurveyReply>,
+    row: Option<ReignRow>,
+}
+
+/// An answered statement that counts once the primary is assured.
+#[derive(Debug)]
+struct PendingAnswer {
+    operation: Operation,
+    term: Term,
+    instant: Instant,
+    position: LogPosition,
+    deadline: Instant,
+}
+
+#[derive(Debug)]
+pub struct EntryHost {
+    pub index: usize,
+    decision: Decision,
+    /// Rises with each start.
+    pub life: u64,
+    pub group: ManagedGroup,
+    calls: HashMap<u64, OpenCall>,
+    next_call: u64,
+    round: Option<Round>,
+    change: Option<RunningChange>,
+    change_after: Option<Instant>,
+    pending: Vec<PendingAnswer>,
+    sessions: [Option<LogPosition>; SESSIONS],
+    listed_at: Option<Instant>,
+    returned_at: Option<Instant>,
+    pub replica_reads: u64,
+}
+
+impl EntryHost {
+    pub fn new(index: usize, life: u64, decision: Decision) -> Self {
+        Self {
+            index,
+            decision,
+            life,
+            group: ManagedGroup::default(),
+            calls: HashMap::new(),
+            // Answers to calls of a former life match none of this one.
+            next_call: life << 32,
+            round: None,
+            change: None,
+            change_after: None,
+            pending: Vec::new(),
+            sessions: [None; SESSIONS],
+            listed_at: None,
+            returned_at: None,
+            replica_reads: 0,
+        }
+    }
+
+    pub fn start(&mut self, now: Instant, out: &mut Outbox) {
+        for timer in [Timer::Rows, Timer::List, Timer::Watch] {
+            out.timers.push((now, timer));
+        }
+    }
+
+    fn call(
+        &mut self,
+        to: Endpoint,
+        kind: CallKind,
+        request: Request,
+        timeout: Duration,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, OpenCall { kind, sent_at: now });
+        out.calls.push((to, id, request));
+        out.timers.push((now + timeout, Timer::CallTimeout(id)));
+    }
+
+    fn ask_store(&mut self, kind: CallKind, request: Request, now: Instant, out: &mut Outbox) {
+        self.call(Endpoint::Store, kind, request, PLATFORM_TIMEOUT, now, out);
+    }
+
+    fn ask_member(
+        &mut self,
+        member: MemberKey,
+        kind: CallKind,
+        request: MemberRequest,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let Some(known) = self.group.members.get(member) else {
+            return;
+        };
+        let to = Endpoint::Member(member_index(&known.server.id));
+        let timeout = match kind {
+            CallKind::Statement { .. } => STATEMENT_TIMEOUT,
+            _ => QUESTION_TIMEOUT,
+        };
+        self.call(to, kind, Request::Member(request), timeout, now, out);
+    }
+
+    pub fn on_timer(&mut self, timer: Timer, now: Instant, out: &mut Outbox) {
+        match timer {
+            Timer::Rows => self.ask_store(CallKind::Rows, Request::ReadRows, now, out),
+            Timer::List => self.ask_store(CallKind::List, Request::ReadList, now, out),
+            Timer::Watch => {
+                self.watch(now, out);
+                out.timers.push((now + WATCH_INTERVAL, Timer::Watch));
+            }
+            Timer::ChangeWait => self.step(StepOutcome::Waited, now, out),
+            Timer::CallTimeout(id) => {
+                if let Some(call) = self.calls.remove(&id) {
+                    self.finish(call, None, now, out);
+                }
+            }
+        }
+        self.settle_pending(now, out);
+    }
+
+    pub fn on_answer(&mut self, id: u64, answer: Answer, now: Instant, out: &mut Outbox) {
+        if let Some(call) = self.calls.remove(&id) {
+            self.finish(call, Some(answer), now, out);
+            self.settle_pending(now, out);
+        }
+    }
+
+    fn watch(&mut self, now: Instant, out: &mut Outbox) {
+        let group = &mut self.group;
+        group.adopt_successor(now);
+        group.reign.observe_lack(now);
+        if self.change.is_some() {
+            return;
+        }
+        let needs_round = self.round.is_none()
+            && group.reign.row().is_some()
+            && !group.reign.is_assured(now + ASSURANCE_RESERVE);
+        if needs_round {
+            self.start_round(now, out);
+        }
+        self.probe_primary(now, out);
+        if self.change_after.is_some_and(|instant| now < instant) {
+            return;
+        }
+        if let Some(reason) = reason_to_change(&self.group, now) {
+            let name = format!("host-{}", self.index);
+            self.change = Some(RunningChange {
+                procedure: ChangeProcedure::new(&name, self.life, reason),
+                waiting: 0,
+                replies: Vec::new(),
+                row: None,
+            });
+            self.step(StepOutcome::Started, now, out);
+        }
+    }
+
+    fn start_round(&mut self, now: Instant, out: &mut Outbox) {
+        let primary = self.group.reign.row().map(|row| row.primary.clone());
+        let others: Vec<MemberKey> = self
+            .group
+            .members
+            .iter()
+            .filter(|(_, one)| Some(&one.server.id) != primary.as_ref())
+            .map(|(key, _)| key)
+            .collect();
+        self.round = Some(Round {
+            asked_at: now,
+            waiting: others.len(),
+            replies: Vec::new(),
+        });
+        for member in others {
+            self.ask_member(
+                member,
+                CallKind::Round(member),
+                MemberRequest::Status,
+                now,
+                out,
+            );
+        }
+        self.finish_round(now);
+    }
+
+    fn finish_round(&mut self, now: Instant) {
+        let Some(round) = self.round.take_if(|round| round.waiting == 0) else {
+            return;
+        };
+        let replies: Vec<RoundReply<'_>> = round
+            .replies
+            .iter()
+            .map(|(member, answer)| RoundReply {
+                member,
+                answer: *answer,
+            })
+            .collect();
+        self.group
+            .reign
+            .observe_round(&replies, round.asked_at, now);
+    }
+
+    fn probe_primary(&mut self, now: Instant, out: &mut Outbox) {
+        let Some(key) = self.group.primary() else {
+            return;
+        };
+        let newest = self.group.newest_watermark_at();
+        let is_old = newest.is_none_or(|at| now.saturating_duration_since(at) > WATERMARK_AGE);
+        if is_old || self.group.members[key].reach.failures > 0 {
+            self.ask_member(key, CallKind::Probe(key), MemberRequest::Status, now, out);
+        }
+    }
+
+    /// Takes the next step of the running change.
+    fn step(&mut self, outcome: StepOutcome, now: Instant, out: &mut Outbox) {
+        let Some(mut change) = self.change.take() else {
+            return;
+        };
+        let step = change.procedure.next(&self.group, outcome, now);
+        match step {
+            ChangeStep::Done { .. } => return,
+            ChangeStep::Fail(_) => {
+                self.change_after = Some(now + FAILURE_PAUSE);
+                return;
+            }
+            ChangeStep::ReadDuty => self.ask_store(CallKind::ReadDuty, Request::ReadRows, now, out),
+            ChangeStep::WriteDuty {
+                row,
+                expected_revision,
+            } => self.write_row(RowValue::Duty(row), expected_revision, now, out),
+            ChangeStep::WriteReign {
+                row,
+                expected_revision,
+            } => {
+                change.row = Some(row.clone());
+                self.write_row(RowValue::Reign(row), expected_revision, now, out);
+            }
+            ChangeStep::StepDown { .. } if self.decision == Decision::NoFence => {
+                self.change = Some(change);
+                return self.step(StepOutcome::SteppedDown(None), now, out);
+            }
+            ChangeStep::StepDown { member, term } => {
+                let request = MemberRequest::StepDown { term };
+                self.ask_member(member, CallKind::StepDown(member), request, now, out);
+            }
+            ChangeStep::Survey { former } => {
+                change.replies.clear();
+                change.waiting = self.survey(former, now, out);
+                if change.waiting == 0 {
+                    self.change = Some(change);
+                    return self.step(StepOutcome::Surveyed(Vec::new()), now, out);
+                }
+            }
+            ChangeStep::Promote {
+                member,
+                fencing_token,
+            } => {
+                if !self.order(member, fencing_token, now, out) {
+                    self.change = Some(change);
+                    return self.step(StepOutcome::Ordered(OrderOutcome::Rejected), now, out);
+                }
+            }
+            ChangeStep::AskStatus { member } => self.ask_member(
+                member,
+                CallKind::SuccessorStatus(member),
+                MemberRequest::Status,
+                now,
+                out,
+            ),
+            ChangeStep::Wait { until } => {
+                let skips = self.decision == Decision::NoFence;
+                let until = if skips { now } else { until.max(now) };
+                out.timers.push((until, Timer::ChangeWait));
+            }
+        }
+        self.change = Some(change);
+    }
+
+    fn write_row(&mut self, value: RowValue, expected: u64, now: Instant, out: &mut Outbox) {
+        let kind = CallKind::ChangeWrite {
+            reign: matches!(value, RowValue::Reign(_)),
+        };
+        let request = Request::WriteRow { expected, value };
+        self.ask_store(kind, request, now, out);
+    }
+
+    /// Orders a promotion; returns whether the member is still known.
+    fn order(&mut self, member: MemberKey, token: u64, now: Instant, out: &mut Outbox) -> bool {
+        let Some(known) = self.group.members.get(member) else {
+            return false;
+        };
+        let request = Request::Promote {
+            member: member_index(&known.server.id),
+            holder: self.index,
+            token,
+        };
+        let to = Endpoint::Promotion;
+        self.call(to, CallKind::Order, request, PLATFORM_TIMEOUT, now, out);
+        true
+    }
+
+    /// Asks all members but one; returns how many were asked.
+    fn survey(&mut self, former: Option<MemberKey>, now: Instant, out: &mut Outbox) -> usize {
+        let members = self.group.members.keys();
+        let members: Vec<MemberKey> = members.filter(|one| Some(*one) != former).collect();
+        for member in &members {
+            let kind = CallKind::Survey(*member);
+            self.ask_member(*member, kind, MemberRequest::Status, now, out);
+        }
+        members.len()
+    }
+
+    /// Enters the answer of a call, or that there was none.
+    fn finish(&mut self, call: OpenCall, answer: Option<Answer>, now: Instant, out: &mut Outbox) {
+        match call.kind {
+            CallKind::Rows => {
+                if let Some(Answer::Rows { reign, .. }) = answer {
+                    self.observe_reign(reign, call.sent_at, now);
+                }
+                let busy = self.group.reign.is_changing();
+                let interval = if busy {
+                    ROWS_INTERVAL_BUSY
+                } else {
+                    ROWS_INTERVAL
+                };
+                out.timers.push((now + interval, Timer::Rows));
+            }
+            CallKind::List => {
+                if let Some(Answer::List(servers)) = answer {
+                    let former = self.listed_at.replace(now);
+                    if former.is_some_and(|at| now - at > LIST_GAP) {
+                        self.returned_at = Some(now);
+                    }
+                    self.group.apply_list(&servers, self.returned_at, now);
+                }
+                out.timers.push((now + LIST_INTERVAL, Timer::List));
+            }
+            CallKind::ReadDuty => self.finish_duty(answer, call.sent_at, now, out),
+            CallKind::ChangeWrite { reign } => {
+                self.finish_change_write(reign, answer, call.sent_at, now, out);
+            }
+            CallKind::Order => {
+                let outcome = match answer {
+                    Some(Answer::Ordered(outcome)) => outcome,
+                    _ => OrderOutcome::Unknown,
+                };
+                self.step(StepOutcome::Ordered(outcome), now, out);
+            }
+            CallKind::SuccessorStatus(member) => {
+                let status = self.note_status(member, answer, call.sent_at, now);
+                let status = status.map(|(role, term, _)| (role, term));
+                self.step(StepOutcome::Status(status), now, out);
+            }
+            CallKind::StepDown(member) => {
+                let status = self.note_status(member, answer, call.sent_at, now);
+                let stepped = status.filter(|(role, ..)| *role == MemberRole::Replica);
+                let end = stepped.map(|(.., position)| position);
+                self.step(StepOutcome::SteppedDown(end), now, out);
+            }
+            CallKind::Survey(member) => {
+                let status = self.note_status(member, answer, call.sent_at, now);
+                self.note_survey(member, status, now, out);
+            }
+            CallKind::Round(member) => {
+                let id = self.group.members.get(member);
+                let id = id.map_or_else(String::new, |one| one.server.id.clone());
+                let status = self.note_status(member, answer, call.sent_at, now);
+                if let Some(round) = &mut self.round {
+                    round.waiting -= 1;
+                    let answer = status.map(|(role, term, _)| (role, term));
+                    round.replies.push((id, answer));
+                }
+                self.finish_round(now);
+            }
+            CallKind::Probe(member) => {
+                self.note_status(member, answer, call.sent_at, now);
+            }
+            CallKind::Statement { .. } => self.finish_statement(call, answer, now, out),
+        }
+    }
+
+    fn observe_reign(&mut self, reign: Option<(ReignRow, u64)>, asked_at: Instant, now: Instant) {
+        if let Some((row, revision)) = reign {
+            self.group.observe_row(&row, revision, asked_at, now);
+        }
+    }
+
+    fn finish_duty(
+        &mut self,
+        answer: Option<Answer>,
+        asked_at: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let Some(Answer::Rows {
+            duty, store_time, ..
+        }) = answer
+        else {
+            return self.abandon_change(now);
+        };
+        let revision = duty.as_ref().map_or(0, |(_, revision)| *revision);
+        let mut row = duty.map(|(row, _)| row);
+        if self.decision == Decision::NoLease {
+            if let Some(row) = &mut row {
+                row.until_ms = 0;
+            }
+        }
+        let reading = DutyReading {
+            row,
+            revision,
+            store_time,
+            asked_at,
+        };
+        self.step(StepOutcome::Duty(reading), now, out);
+    }
+
+    fn finish_change_write(
+        &mut self,
+        reign: bool,
+        answer: Option<Answer>,
+        asked_at: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let outcome = match answer {
+            Some(Answer::Written { revision }) => StepOutcome::Written { revision },
+            Some(Answer::Conflict) => StepOutcome::Conflict,
+            _ => return self.abandon_change(now),
+        };
+        let row = self.change.as_mut().and_then(|change| change.row.take());
+        if let (true, StepOutcome::Written { revision }) = (reign, &outcome) {
+            self.observe_reign(row.map(|row| (row, *revision)), asked_at, now);
+        }
+        self.step(outcome, now, out);
+    }
+
+    fn abandon_change(&mut self, now: Instant) {
+        self.change = None;
+        self.change_after = Some(now + FAILURE_PAUSE);
+    }
+
+    fn note_survey(
+        &mut self,
+        member: MemberKey,
+        status: Option<(MemberRole, Term, LogPosition)>,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        change.waiting -= 1;
+        if let Some((role, term, received)) = status {
+            change.replies.push(SurveyReply {
+                member,
+                role,
+                term,
+                received,
+            });
+        }
+        if change.waiting == 0 {
+            let replies = std::mem::take(&mut change.replies);
+            self.step(StepOutcome::Surveyed(replies), now, out);
+        }
+    }
+
+    fn note_status(
+        &mut self,
+        member: MemberKey,
+        answer: Option<Answer>,
+        asked_at: Instant,
+        now: Instant,
+    ) -> Option<(MemberRole, Term, LogPosition)> {
+        let Some(Answer::Status {
+            role,
+            term,
+            position,
+        }) = answer
+        else {
+            self.note_failure(member, answer.is_some(), asked_at, now);
+            return None;
+        };
+        self.group
+            .note_answer(member, Some(position), asked_at, now);
+        if let Some(known) = self.group.members.get(member) {
+            let leads = role == MemberRole::Primary;
+            self.group.reign.observe_role(&known.server.id, leads);
+        }
+        Some((role, term, position))
+    }
+
+    fn note_failure(&mut self, member: MemberKey, refused: bool, sent_at: Instant, now: Instant) {
+        match refused {
+            true => self.group.note_failure(member, ReachFailure::Refused, now),
+            false => self.group.note_silence(member, sent_at, now),
+        }
+    }
+
+    /// Places an operation, or drops it when no member qualifies.
+    pub fn operate(&mut self, operation: Operation, now: Instant, out: &mut Outbox) {
+        let term = self.group.reign.term();
+        let choice = match operation.kind {
+            OperationKind::Write { .. } => choose_primary(&self.group, None, &[], now),
+            OperationKind::Read { freshness, .. } => {
+                let need = ReadNeed {
+                    freshness,
+                    began_at: now,
+                    own_position: self.sessions[operation.session],
+                    tried: &[],
+                };
+                let place = HostPlace {
+                    data_centre: &format!("dc-{}", self.index),
+                    region: &[],
+                };
+                choose_read(&self.group, &need, &place, now)
+            }
+        };
+        let (member, since, assured_at, by_primary) = match choice {
+            PlaceChoice::Replica { member, since } => (member, Some(since), None, false),
+            PlaceChoice::Primary { member, assured_at } => (member, None, assured_at, true),
+            PlaceChoice::None(_) => return,
+        };
+        let request = match operation.kind {
+            OperationKind::Write { write } => MemberRequest::Write { write },
+            OperationKind::Read { read, .. } => MemberRequest::Read {
+                read,
+                since: since.filter(|_| self.decision != Decision::AnyReplica),
+            },
+        };
+        let kind = CallKind::Statement {
+            operation,
+            member,
+            since,
+            term,
+            assured_at,
+            by_primary,
+        };
+        self.ask_member(member, kind, request, now, out);
+    }
+
+    fn finish_statement(
+        &mut self,
+        call: OpenCall,
+        answer: Option<Answer>,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let CallKind::Statement {
+            operation,
+            member,
+            since,
+            term,
+            assured_at,
+            by_primary,
+        } = call.kind
+        else {
+            return;
+        };
+        let position = match answer {
+            Some(Answer::Done { position }) => position,
+            Some(Answer::ReadOnly) => {
+                if let Some(known) = self.group.members.get(member) {
+                    self.group.reign.observe_role(&known.server.id, false);
+                }
+                return;
+            }
+            Some(Answer::Lagging) => {
+                let position = since.unwrap_or_default();
+                return self.group.note_lag(member, position, now);
+            }
+            Some(_) => return self.note_failure(member, true, call.sent_at, now),
+            None => return self.note_failure(member, false, call.sent_at, now),
+        };
+        self.group
+            .note_answer(member, Some(position), call.sent_at, now);
+        if !by_primary {
+            self.replica_reads += 1;
+            return self.deliver(operation, position, out);
+        }
+        self.pending.push(PendingAnswer {
+            operation,
+            term,
+            instant: assured_at.unwrap_or(now),
+            position,
+            deadline: call.sent_at + STATEMENT_TIMEOUT,
+        });
+    }
+
+    /// Delivers the answers whose primary is assured and drops those that it
+    /// will not be for, as the runtime does after each change of the group.
+    fn settle_pending(&mut self, now: Instant, out: &mut Outbox) {
+        for answer in std::mem::take(&mut self.pending) {
+            let reign = &self.group.reign;
+            let is_write = matches!(answer.operation.kind, OperationKind::Write { .. });
+            let state = match self.decision {
+                Decision::NoAssurance if is_write => AssuranceState::Given,
+                Decision::AnyAssurance if reign.is_assured(answer.instant) => AssuranceState::Given,
+                Decision::AnyAssurance => AssuranceState::Pending,
+                _ => reign.assurance_of(answer.term, answer.instant),
+            };
+            match state {
+                AssuranceState::Given => self.deliver(answer.operation, answer.position, out),
+                AssuranceState::Pending if now < answer.deadline => self.pending.push(answer),
+                AssuranceState::Pending | AssuranceState::Lost => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, operation: Operation, position: LogPosition, out: &mut Outbox) {
+        let delivery = match operation.kind {
+            OperationKind::Write { write } => {
+                let own = &mut self.sessions[operation.session];
+                *own = (*own).max(Some(position));
+                Delivery::WriteAcknowledged { write }
+            }
+            OperationKind::Read { read, .. } => Delivery::ReadAnswered { read },
+        };
+        out.deliveries.push(delivery);
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/managed_model/site.rs
@@ -0,0 +1,341 @@
+//! The platform of the model: the store's rows, the members and the promotions.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use coordination::managed::duty::DutyRow;
+use coordination::managed::reign::ReignRow;
+use state::listing::{ListedServer, ServerState};
+use state::log::{LogPosition, Term};
+use state::member::MemberRole;
+
+use super::{Answer, MemberRequest, RowValue};
+
+/// Time after which a superseded primary that reaches its successor follows it.
+const SUPERSEDED_AFTER: Duration = Duration::from_secs(1);
+/// Silence after which the store drops an entry of the list: three heartbeats.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+pub const MEMBERS: usize = 3;
+
+/// An entry of a log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogEntry {
+    pub term: u64,
+    pub write: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub alive: bool,
+    pub draining: bool,
+    pub leads: bool,
+    pub term: u64,
+    pub log: Vec<LogEntry>,
+    pub applied: usize,
+    /// Part of the ticks at which a replica applies what it received.
+    pub apply_chance: f64,
+    pub started_ms: u64,
+    heartbeat: u64,
+    heard_at: Instant,
+    successor_seen_at: Option<Instant>,
+}
+
+impl Member {
+    pub fn position(&self) -> LogPosition {
+        position_of(&self.log[..self.applied])
+    }
+
+    pub fn received(&self) -> LogPosition {
+        position_of(&self.log)
+    }
+
+    fn holds(&self, position: LogPosition) -> bool {
+        let Some(index) = position.offset.checked_sub(1) else {
+            return true;
+        };
+        let applied = &self.log[..self.applied];
+        let entry = applied.get(usize::try_from(index).expect("a small log"));
+        entry.is_some_and(|entry| entry.term == position.term.0)
+    }
+
+    fn follow(&mut self, term: u64, log: &[LogEntry]) {
+        let common = self
+            .log
+            .iter()
+            .zip(log)
+            .rposition(|(own, other)| own == other)
+            .map_or(0, |last| last + 1);
+        self.log.truncate(common);
+        self.log.extend_from_slice(&log[common..]);
+        self.applied = self.applied.min(common);
+        self.term = term;
+    }
+}
+
+fn position_of(log: &[LogEntry]) -> LogPosition {
+    log.last().map_or(LogPosition::START, |entry| {
+        LogPosition::new(entry.term, log.len() as u64)
+    })
+}
+
+#[derive(Debug)]
+struct StoredRow<T> {
+    value: Option<T>,
+    revision: u64,
+}
+
+/// A promotion that took effect.
+#[derive(Clone, Copy, Debug)]
+pub struct Promotion {
+    pub at: Instant,
+    pub term: u64,
+}
+
+#[derive(Debug)]
+pub struct Site {
+    base: Instant,
+    pub members: Vec<Member>,
+    pub promotions: Vec<Promotion>,
+    duty: StoredRow<DutyRow>,
+    reign: StoredRow<ReignRow>,
+    revision: u64,
+}
+
+impl Site {
+    pub fn new(base: Instant) -> Self {
+        let member = |index: usize| Member {
+            alive: true,
+            draining: false,
+            leads: index == 0,
+            term: 1,
+            log: Vec::new(),
+            applied: 0,
+            apply_chance: 0.5,
+            started_ms: 1,
+            heartbeat: 0,
+            heard_at: base,
+            successor_seen_at: None,
+        };
+        let reign = ReignRow {
+            primary: member_id(0),
+            term: Term(1),
+            change: None,
+        };
+        Self {
+            base,
+            members: (0..MEMBERS).map(member).collect(),
+            promotions: Vec::new(),
+            duty: StoredRow {
+                value: None,
+                revision: 0,
+            },
+            reign: StoredRow {
+                value: Some(reign),
+                revision: 1,
+            },
+            revision: 1,
+        }
+    }
+
+    pub fn read_rows(&self, now: Instant) -> Answer {
+        let reign = self.reign.value.clone();
+        let duty = self.duty.value.clone();
+        Answer::Rows {
+            reign: reign.map(|row| (row, self.reign.revision)),
+            duty: duty.map(|row| (row, self.duty.revision)),
+            store_time: now - self.base,
+        }
+    }
+
+    pub fn write_row(&mut self, expected: u64, value: RowValue) -> Answer {
+        let known = match value {
+            RowValue::Duty(_) => self.duty.revision,
+            RowValue::Reign(_) => self.reign.revision,
+        };
+        if known != expected {
+            return Answer::Conflict;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        match value {
+            RowValue::Duty(row) => {
+                self.duty = StoredRow {
+                    value: Some(row),
+                    revision,
+                }
+            }
+            RowValue::Reign(row) => {
+                self.reign = StoredRow {
+                    value: Some(row),
+                    revision,
+                }
+            }
+        }
+        Answer::Written { revision }
+    }
+
+    pub fn list(&self, now: Instant) -> Answer {
+        let listed = self.members.iter().enumerate();
+        let listed = listed.filter(|(_, one)| now - one.heard_at < ENTRY_LIFETIME);
+        Answer::List(
+            listed
+                .map(|(index, one)| ListedServer {
+                    id: member_id(index),
+                    group: "birds".to_owned(),
+                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, 5432)),
+                    data_centre: format!("dc-{index}"),
+                    state: match one.draining {
+                        true => ServerState::Draining,
+                        false => ServerState::Ready,
+                    },
+                    role: role_of(one),
+                    slots: 3,
+                    warm_up_left: Duration::ZERO,
+                    started_ms: one.started_ms,
+                    heartbeat: one.heartbeat,
+                })
+                .collect(),
+        )
+    }
+
+    /// Enters the heartbeat of a member that reaches the store.
+    pub fn beat(&mut self, index: usize, now: Instant) {
+        let member = &mut self.members[index];
+        member.heartbeat += 1;
+        member.heard_at = now;
+    }
+
+    /// Runs a statement. `now` is the instant of a commit.
+    pub fn run(&mut self, index: usize, request: MemberRequest) -> Answer {
+        let member = &mut self.members[index];
+        match request {
+            MemberRequest::Write { .. } if !member.leads => Answer::ReadOnly,
+            MemberRequest::Write { write } => {
+                let term = member.term;
+                member.log.push(LogEntry { term, write });
+                member.applied = member.log.len();
+                Answer::Done {
+                    position: member.position(),
+                }
+            }
+            MemberRequest::Read { since, .. } => {
+                if since.is_some_and(|position| !member.holds(position)) {
+                    return Answer::Lagging;
+                }
+                Answer::Done {
+                    position: member.position(),
+                }
+            }
+            MemberRequest::StepDown { term } => {
+                if member.term < term.0 {
+                    member.leads = false;
+                }
+                status(member)
+            }
+            MemberRequest::Status => status(member),
+        }
+    }
+
+    /// Lets a member lead the next term with what it received.
+    pub fn promote(&mut self, index: usize, now: Instant) {
+        let leading = self.members.iter().filter(|one| one.leads);
+        let newest = leading.map(|one| one.term).max();
+        let term = self.members.iter().map(|one| one.term).max();
+        let member = &mut self.members[index];
+        if !member.alive || (member.leads && Some(member.term) == newest) {
+            return;
+        }
+        member.term = term.unwrap_or(0) + 1;
+        member.leads = true;
+        member.applied = member.log.len();
+        let term = member.term;
+        self.promotions.push(Promotion { at: now, term });
+    }
+
+    /// Lets a member start again. One that lost its data holds nothing.
+    pub fn restart(&mut self, index: usize, lost_data: bool) {
+        let newest = self.members.iter().filter(|one| one.leads);
+        let newest = newest.map(|one| one.term).max().unwrap_or(0);
+        let member = &mut self.members[index];
+        member.alive = true;
+        member.draining = false;
+        member.started_ms += 1;
+        member.heartbeat = 0;
+        member.successor_seen_at = None;
+        member.leads &= member.term >= newest;
+        if lost_data && !member.leads {
+            member.log.clear();
+            member.applied = 0;
+        }
+    }
+
+    /// Lets the members receive from the primaries that they reach, and apply.
+    pub fn replicate(
+        &mut self,
+        now: Instant,
+        reaches: impl Fn(usize, usize) -> bool,
+        mut draw: impl FnMut() -> f64,
+    ) {
+        for index in 0..self.members.len() {
+            if !self.members[index].alive {
+                continue;
+            }
+            let source = (0..self.members.len())
+                .filter(|other| *other != index && self.members[*other].alive)
+                .filter(|other| self.members[*other].leads && reaches(*other, index))
+                .max_by_key(|other| self.members[*other].term);
+            if let Some(source) = source {
+                let (term, log) = {
+                    let source = &self.members[source];
+                    (source.term, source.log.clone())
+                };
+                self.members[index].receive(term, &log, now);
+            }
+            let member = &mut self.members[index];
+            if member.leads || draw() < member.apply_chance {
+                member.applied = member.log.len();
+            }
+        }
+    }
+}
+
+impl Member {
+    fn receive(&mut self, term: u64, log: &[LogEntry], now: Instant) {
+        if term <= self.term && self.leads || term < self.term {
+            return;
+        }
+        if self.leads {
+            let since = *self.successor_seen_at.get_or_insert(now);
+            if now - since < SUPERSEDED_AFTER {
+                return;
+            }
+            self.leads = false;
+        }
+        self.successor_seen_at = None;
+        self.follow(term, log);
+    }
+}
+
+fn status(member: &Member) -> Answer {
+    Answer::Status {
+        role: role_of(member),
+        term: Term(member.term),
+        position: member.received(),
+    }
+}
+
+fn role_of(member: &Member) -> MemberRole {
+    match member.leads {
+        true => MemberRole::Primary,
+        false => MemberRole::Replica,
+    }
+}
+
+pub fn member_id(index: usize) -> String {
+    format!("m-{index}")
+}
+
+pub fn member_index(id: &str) -> usize {
+    let (_, index) = id.split_once('-').expect("an identity of the model");
+    index.parse().expect("an identity of the model")
+}
--- /dev/null
+++ b/crates/coordination/tests/managed_model/world.rs
@@ -0,0 +1,934 @@
+//! The event loop of the model: links, faults, traffic and checks.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use state::plan::ReadFreshness;
+
+use super::entry_host::{EntryHost, Operation, OperationKind, Timer, SESSIONS};
+use super::site::{Site, MEMBERS};
+use super::{
+    Answer, Decision, Delivery, Endpoint, Fault, MemberRequest, Outbox, Request, Violation,
+};
+use coordination::managed::change_steps::OrderOutcome;
+
+const HOSTS: usize = 3;
+/// Longest time without an acknowledged write after the last fault: the users'
+/// target for a change of primary.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(8);
+const FAULTS_FROM: Duration = Duration::from_secs(3);
+const FAULTS_UNTIL: Duration = Duration::from_secs(20);
+const RUN_FOR: Duration = Duration::from_secs(36);
+const REPLICATION_TICK: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const OPERATION_INTERVAL: Duration = Duration::from_millis(12);
+const PROMOTION_TIME: (u64, u64) = (200, 1_000);
+/// Time after which a sender resets a connection whose bytes are kept back.
+const ORDER_RESET: Duration = Duration::from_millis(800);
+
+#[derive(Clone, Copy, Debug)]
+enum FaultKind {
+    CutHostStore(usize),
+    CutHostPromotion(usize),
+    CutPrimaryHosts,
+    CutHostMembers(usize),
+    CutPrimaryReplicas,
+    IsolatePrimary,
+    IsolateMember(usize),
+    StoreDown,
+    StoreLosesAnswers,
+    StoreActsLate,
+    StoreSlow,
+    OrdersLost,
+    KillHost(usize),
+    KillHolder,
+    FreezeHost(usize),
+    FreezeHolder,
+    CrashPrimary,
+    CrashMember(usize),
+    RebornReplica(usize),
+    DrainPrimary,
+    Lag,
+    AllHostsKilled,
+    /// The primary reaches only one host, which does not reach the store.
+    SplitPrimary(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    HostTimer {
+        host: usize,
+        life: u64,
+        timer: Timer,
+    },
+    Arrive {
+        host: usize,
+        to: Endpoint,
+        call: u64,
+        request: Request,
+        sent_at: Instant,
+    },
+    /// A statement that has had its processing time.
+    Run {
+        host: usize,
+        member: usize,
+        started_ms: u64,
+        call: u64,
+        request: MemberRequest,
+    },
+    Reply {
+        host: usize,
+        from: Endpoint,
+        call: u64,
+        answer: Answer,
+    },
+    Promote {
+        member: usize,
+    },
+    Replicate,
+    Heartbeat,
+    Operate,
+    Begin(FaultKind),
+    End(u64),
+    Restart {
+        member: usize,
+        lost_data: bool,
+    },
+    StartHost(usize),
+}
+
+/// What a fault does until it ends.
+#[derive(Debug, Default)]
+struct Effect {
+    cuts: Vec<(Endpoint, Endpoint)>,
+    store_down: bool,
+    store_loses: bool,
+    store_late: bool,
+    store_slow: bool,
+    orders_lost: bool,
+    lag: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Commit {
+    at: Instant,
+    term: u64,
+    /// Place in the log of its primary.
+    index: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WriteRecord {
+    committed: Option<Commit>,
+    session: (usize, u64, usize),
+    rolled_back: bool,
+}
+
+#[derive(Clone, Debug)]
+struct ReadRecord {
+    began_at: Instant,
+    staleness: Duration,
+    session: (usize, u64, usize),
+    own_writes: bool,
+    /// Acknowledged commits that the log lacked.
+    lacking: Vec<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunFigures {
+    pub acknowledged: u64,
+    pub reads: u64,
+    pub replica_reads: u64,
+    pub promotions: u64,
+    pub longest_recovery: Duration,
+}
+
+impl RunFigures {
+    pub fn add(&mut self, other: &Self) {
+        self.acknowledged += other.acknowledged;
+        self.reads += other.reads;
+        self.replica_reads += other.replica_reads;
+        self.promotions += other.promotions;
+        self.longest_recovery = self.longest_recovery.max(other.longest_recovery);
+    }
+}
+
+pub struct World {
+    random: StdRng,
+    trace: bool,
+    decision: Decision,
+    base: Instant,
+    now: Instant,
+    events: BTreeMap<(Instant, u64), Event>,
+    next_event: u64,
+    site: Site,
+    hosts: Vec<Option<EntryHost>>,
+    lives: Vec<u64>,
+    frozen_until: Vec<Option<Instant>>,
+    effects: HashMap<u64, Effect>,
+    next_effect: u64,
+    faults_end: Instant,
+    writes: Vec<WriteRecord>,
+    /// Acknowledged writes and when.
+    acknowledged: Vec<(u64, Instant)>,
+    reads: Vec<ReadRecord>,
+    delivered_reads: Vec<u64>,
+    /// Holder and token of the orders, in the order of their arrival.
+    orders: Vec<(usize, u64)>,
+    first_write_after: HashMap<usize, Instant>,
+    violation: Option<Violation>,
+    pub figures: RunFigures,
+}
+
+impl World {
+    pub fn new(seed: u64, decision: Decision, trace: bool) -> Self {
+        let base = Instant::now();
+        let mut world = Self {
+            random: StdRng::seed_from_u64(seed),
+            trace,
+            decision,
+            base,
+            now: base,
+            events: BTreeMap::new(),
+            next_event: 0,
+            site: Site::new(base),
+            hosts: (0..HOSTS).map(|_| None).collect(),
+            lives: vec![0; HOSTS],
+            frozen_until: vec![None; HOSTS],
+            effects: HashMap::new(),
+            next_effect: 0,
+            faults_end: base + FAULTS_FROM,
+            writes: Vec::new(),
+            acknowledged: Vec::new(),
+            reads: Vec::new(),
+            delivered_reads: Vec::new(),
+            orders: Vec::new(),
+            first_write_after: HashMap::new(),
+            violation: None,
+            figures: RunFigures::default(),
+        };
+        for host in 0..HOSTS {
+            world.after(Duration::ZERO, Event::StartHost(host));
+        }
+        world.after(REPLICATION_TICK, Event::Replicate);
+        world.after(HEARTBEAT, Event::Heartbeat);
+        world.after(Duration::from_secs(1), Event::Operate);
+        world.plan_faults();
+        world
+    }
+
+    fn millis(&mut self, from: u64, until: u64) -> Duration {
+        Duration::from_millis(self.random.random_range(from..=until))
+    }
+
+    fn at(&mut self, instant: Instant, event: Event) {
+        self.events.insert((instant, self.next_event), event);
+        self.next_event += 1;
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn plan_faults(&mut self) {
+        let count = self.random.random_range(2..=6);
+        let window = (FAULTS_UNTIL - FAULTS_FROM).as_millis() as u64;
+        for _ in 0..count {
+            let delay = FAULTS_FROM + self.millis(0, window);
+            let kind = self.draw_fault();
+            self.after(delay, Event::Begin(kind));
+        }
+    }
+
+    fn draw_fault(&mut self) -> FaultKind {
+        let host = self.random.random_range(0..HOSTS);
+        let member = self.random.random_range(0..MEMBERS);
+        let kinds = [
+            FaultKind::CutHostStore(host),
+            FaultKind::CutHostPromotion(host),
+            FaultKind::CutPrimaryHosts,
+            FaultKind::CutPrimaryHosts,
+            FaultKind::CutHostMembers(host),
+            FaultKind::CutPrimaryReplicas,
+            FaultKind::IsolatePrimary,
+            FaultKind::IsolateMember(member),
+            FaultKind::StoreDown,
+            FaultKind::StoreLosesAnswers,
+            FaultKind::StoreActsLate,
+            FaultKind::StoreSlow,
+            FaultKind::OrdersLost,
+            FaultKind::KillHost(host),
+            FaultKind::KillHolder,
+            FaultKind::FreezeHost(host),
+            FaultKind::FreezeHolder,
+            FaultKind::CrashPrimary,
+            FaultKind::CrashPrimary,
+            FaultKind::IsolatePrimary,
+            FaultKind::CrashMember(member),
+            FaultKind::RebornReplica(member),
+            FaultKind::DrainPrimary,
+            FaultKind::Lag,
+            FaultKind::AllHostsKilled,
+            FaultKind::SplitPrimary(host),
+            FaultKind::SplitPrimary(host),
+            FaultKind::SplitPrimary(host),
+            FaultKind::SplitPrimary(host),
+            FaultKind::SplitPrimary(host),
+        ];
+        kinds[self.random.random_range(0..kinds.len())]
+    }
+
+    /// Plays the run; returns the first broken rule.
+    pub fn run(&mut self) -> Option<Violation> {
+        let end = self.base + RUN_FOR;
+        while let Some(((instant, _), event)) = self.events.pop_first() {
+            if instant > end || self.violation.is_some() {
+                break;
+            }
+            self.now = instant;
+            self.handle(event);
+        }
+        if self.violation.is_none() {
+            self.check_reads();
+            self.check_recovery();
+        }
+        self.figures.promotions = self.site.promotions.len() as u64;
+        self.violation.take()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::HostTimer { host, life, timer } => {
+                let event = Event::HostTimer { host, life, timer };
+                self.with_host(host, event, |known, now, out| {
+                    if known.life == life {
+                        known.on_timer(timer, now, out);
+                    }
+                });
+            }
+            Event::Reply {
+                host,
+                from,
+                call,
+                answer,
+            } => {
+                let event = Event::Reply {
+                    host,
+                    from,
+                    call,
+                    answer: answer.clone(),
+                };
+                if self.is_cut(from, Endpoint::Host(host)) {
+                    return self.keep_back(event);
+                }
+                self.with_host(host, event, |known, now, out| {
+                    known.on_answer(call, answer, now, out);
+                });
+            }
+            Event::Arrive {
+                host,
+                to,
+                call,
+                request,
+                sent_at,
+            } => self.arrive(host, to, call, request, sent_at),
+            Event::Run {
+                host,
+                member,
+                started_ms,
+                call,
+                request,
+            } => self.run_statement(host, member, started_ms, call, request),
+            Event::Promote { member } => self.promote(member),
+            Event::Replicate => self.replicate(),
+            Event::Heartbeat => self.beat(),
+            Event::Operate => self.operate(),
+            Event::Begin(kind) => self.begin(kind),
+            Event::End(effect) => {
+                self.effects.remove(&effect);
+            }
+            Event::Restart { member, lost_data } => self.site.restart(member, lost_data),
+            Event::StartHost(host) => {
+                self.lives[host] += 1;
+                let mut known = EntryHost::new(host, self.lives[host], self.decision);
+                let mut out = Outbox::default();
+                known.start(self.now, &mut out);
+                self.hosts[host] = Some(known);
+                self.carry_out(host, out);
+            }
+        }
+    }
+
+    /// Runs `act` on a host, or puts `event` off until it is no longer frozen.
+    fn with_host(
+        &mut self,
+        host: usize,
+        event: Event,
+        act: impl FnOnce(&mut EntryHost, Instant, &mut Outbox),
+    ) {
+        if let Some(until) = self.frozen_until[host].filter(|until| *until > self.now) {
+            return self.at(until, event);
+        }
+        let Some(known) = &mut self.hosts[host] else {
+            return;
+        };
+        let mut out = Outbox::default();
+        act(known, self.now, &mut out);
+        self.carry_out(host, out);
+    }
+
+    fn carry_out(&mut self, host: usize, out: Outbox) {
+        let life = self.lives[host];
+        for (at, timer) in out.timers {
+            self.at(at, Event::HostTimer { host, life, timer });
+        }
+        for (to, call, request) in out.calls {
+            let delay = self.millis(1, 12);
+            let sent_at = self.now;
+            self.after(
+                delay,
+                Event::Arrive {
+                    host,
+                    to,
+                    call,
+                    request,
+                    sent_at,
+                },
+            );
+        }
+        for delivery in out.deliveries {
+            self.deliver(delivery);
+        }
+    }
+
+    fn is_cut(&self, from: Endpoint, to: Endpoint) -> bool {
+        let is_listed = |effect: &Effect| {
+            let mut cuts = effect.cuts.iter();
+            cuts.any(|(left, right)| (*left, *right) == (from, to) || (*right, *left) == (from, to))
+        };
+        self.effects.values().any(is_listed)
+    }
+
+    fn has(&self, test: impl Fn(&Effect) -> bool) -> bool {
+        self.effects.values().any(test)
+    }
+
+    /// Bytes that a cut keeps back arrive after it, or are lost with their
+    /// connection.
+    fn keep_back(&mut self, event: Event) {
+        if self.random.random_bool(0.5) {
+            let delay = self.millis(50, 400);
+            self.after(delay, event);
+        }
+    }
+
+    fn reply(&mut self, host: usize, from: Endpoint, call: u64, answer: Answer) {
+        let delay = self.millis(1, 12);
+        self.after(
+            delay,
+            Event::Reply {
+                host,
+                from,
+                call,
+                answer,
+            },
+        );
+    }
+
+    fn arrive(&mut self, host: usize, to: Endpoint, call: u64, request: Request, sent_at: Instant) {
+        if self.is_cut(Endpoint::Host(host), to) {
+            let resets = to == Endpoint::Promotion && self.now >= sent_at + ORDER_RESET;
+            if !resets {
+                self.keep_back(Event::Arrive {
+                    host,
+                    to,
+                    call,
+                    request,
+                    sent_at,
+                });
+            }
+            return;
+        }
+        match (to, request) {
+            (Endpoint::Store, request) => self.arrive_at_store(host, call, request),
+            (
+                Endpoint::Promotion,
+                Request::Promote {
+                    member,
+                    holder,
+                    token,
+                },
+            ) => {
+                self.order(host, call, member, holder, token);
+            }
+            (Endpoint::Member(member), Request::Member(request)) => {
+                let known = &self.site.members[member];
+                if !known.alive {
+                    return self.reply(host, to, call, Answer::Unavailable);
+                }
+                let started_ms = known.started_ms;
+                let work = match request {
+                    MemberRequest::Write { .. } | MemberRequest::Read { .. } => self.millis(2, 60),
+                    MemberRequest::Status | MemberRequest::StepDown { .. } => self.millis(0, 5),
+                };
+                self.after(
+                    work,
+                    Event::Run {
+                        host,
+                        member,
+                        started_ms,
+                        call,
+                        request,
+                    },
+                );
+            }
+            (to, request) => panic!("{request:?} is not sent to {to:?}"),
+        }
+    }
+
+    fn arrive_at_store(&mut self, host: usize, call: u64, request: Request) {
+        if self.has(|effect| effect.store_down) {
+            return self.reply(host, Endpoint::Store, call, Answer::Unavailable);
+        }
+        if self.has(|effect| effect.store_slow) && self.random.random_bool(0.9) {
+            // The call waits at the store and is seen there later.
+            let delay = self.millis(50, 300);
+            let sent_at = self.now;
+            let to = Endpoint::Store;
+            return self.after(
+                delay,
+                Event::Arrive {
+                    host,
+                    to,
+                    call,
+                    request,
+                    sent_at,
+                },
+            );
+        }
+        let is_write = matches!(request, Request::WriteRow { .. });
+        if is_write && self.has(|effect| effect.store_late) && self.random.random_bool(0.5) {
+            let delay = self.millis(1_000, 6_000);
+            let sent_at = self.now;
+            let to = Endpoint::Store;
+            return self.after(
+                delay,
+                Event::Arrive {
+                    host,
+                    to,
+                    call,
+                    request,
+                    sent_at,
+                },
+            );
+        }
+        let answer = match request {
+            Request::ReadRows => self.site.read_rows(self.now),
+            Request::ReadList => self.site.list(self.now),
+            Request::WriteRow { expected, value } => self.site.write_row(expected, value),
+            request => panic!("{request:?} is not sent to the store"),
+        };
+        if is_write && self.has(|effect| effect.store_loses) && self.random.random_bool(0.3) {
+            return;
+        }
+        self.reply(host, Endpoint::Store, call, answer);
+    }
+
+    fn order(&mut self, host: usize, call: u64, member: usize, holder: usize, token: u64) {
+        let is_lost = self.has(|effect| effect.orders_lost) && self.random.random_bool(0.6);
+        if is_lost && self.random.random_bool(0.5) {
+            return;
+        }
+        self.check_order(holder, token);
+        let outcome = match self.site.members[member].alive {
+            true => {
+                let delay = self.millis(PROMOTION_TIME.0, PROMOTION_TIME.1);
+                self.after(delay, Event::Promote { member });
+                OrderOutcome::Accepted
+            }
+            false => OrderOutcome::Rejected,
+        };
+        if !is_lost {
+            self.reply(host, Endpoint::Promotion, call, Answer::Ordered(outcome));
+        }
+    }
+
+    fn check_order(&mut self, holder: usize, token: u64) {
+        let newest = self.orders.iter().map(|(_, token)| *token).max();
+        let shared = self
+            .orders
+            .iter()
+            .any(|(other, known)| *known == token && *other != holder);
+        if shared || newest.is_some_and(|newest| token < newest) {
+            self.break_rule(
+                Fault::TwoHolders,
+                format!(
+                    "order of host {holder} with token {token} after {:?}",
+                    self.orders
+                ),
+            );
+        }
+        self.orders.push((holder, token));
+    }
+
+    fn run_statement(
+        &mut self,
+        host: usize,
+        member: usize,
+        started_ms: u64,
+        call: u64,
+        request: MemberRequest,
+    ) {
+        let known = &self.site.members[member];
+        if !known.alive || known.started_ms != started_ms {
+            return;
+        }
+        if let MemberRequest::Read { read, .. } = request {
+            self.reads[read as usize].lacking = self.lacking(read, member);
+        }
+        let answer = self.site.run(member, request);
+        if let (MemberRequest::Write { write }, Answer::Done { position }) = (request, &answer) {
+            let record = &mut self.writes[write as usize];
+            record.committed = Some(Commit {
+                at: self.now,
+                term: position.term.0,
+                index: position.offset as usize - 1,
+            });
+        }
+        self.reply(host, Endpoint::Member(member), call, answer);
+    }
+
+    /// Acknowledged commits that a read must see and the member lacks.
+    fn lacking(&self, read: u64, member: usize) -> Vec<u64> {
+        let read = &self.reads[read as usize];
+        let must_see = |write: &WriteRecord, at: Instant| {
+            let own = read.own_writes && write.session == read.session && at < read.began_at;
+            own || at + read.staleness < read.began_at
+        };
+        let holds = |index: u64| self.holds(member, index);
+        let acknowledged = self.acknowledged.iter();
+        acknowledged
+            .filter(|(index, at)| {
+                let write = &self.writes[*index as usize];
+                !write.rolled_back && must_see(write, *at) && !holds(*index)
+            })
+            .map(|(index, _)| *index)
+            .collect()
+    }
+
+    fn holds(&self, member: usize, write: u64) -> bool {
+        let member = &self.site.members[member];
+        let Some(commit) = self.writes[write as usize].committed else {
+            return false;
+        };
+        let entry = member.log[..member.applied].get(commit.index);
+        entry.is_some_and(|entry| entry.write == write)
+    }
+
+    fn promote(&mut self, member: usize) {
+        let before = self.site.promotions.len();
+        self.site.promote(member, self.now);
+        if self.site.promotions.len() == before {
+            return;
+        }
+        if self.trace {
+            println!("{:?} member {member} promoted", self.now - self.base);
+        }
+        for write in 0..self.writes.len() {
+            let is_committed = self.writes[write].committed.is_some();
+            if is_committed && !self.holds(member, write as u64) {
+                self.writes[write].rolled_back = true;
+            }
+        }
+    }
+
+    fn replicate(&mut self) {
+        let cuts: HashSet<(usize, usize)> = (0..MEMBERS)
+            .flat_map(|left| (0..MEMBERS).map(move |right| (left, right)))
+            .filter(|(left, right)| self.is_cut(Endpoint::Member(*left), Endpoint::Member(*right)))
+            .collect();
+        let chance = if self.has(|effect| effect.lag) {
+            0.01
+        } else {
+            0.5
+        };
+        for member in &mut self.site.members {
+            member.apply_chance = chance;
+        }
+        let random = &mut self.random;
+        self.site.replicate(
+            self.now,
+            |from, to| !cuts.contains(&(from, to)),
+            || random.random_range(0.0..1.0),
+        );
+        self.after(REPLICATION_TICK, Event::Replicate);
+    }
+
+    fn beat(&mut self) {
+        for member in 0..MEMBERS {
+            let cut = self.is_cut(Endpoint::Member(member), Endpoint::Store);
+            if self.site.members[member].alive && !cut && !self.has(|effect| effect.store_down) {
+                self.site.beat(member, self.now);
+            }
+        }
+        self.after(HEARTBEAT, Event::Heartbeat);
+    }
+
+    fn operate(&mut self) {
+        let host = self.random.random_range(0..HOSTS);
+        let session = self.random.random_range(0..SESSIONS);
+        let identity = (host, self.lives[host], session);
+        let staleness = Duration::from_millis(1_500);
+        let freshness = match self.random.random_range(0..10) {
+            0..=3 => None,
+            4..=5 => Some(ReadFreshness::Current),
+            6..=7 => Some(ReadFreshness::Bounded {
+                max_staleness: staleness,
+            }),
+            _ => Some(ReadFreshness::OwnWrites {
+                max_staleness: staleness,
+            }),
+        };
+        let kind = match freshness {
+            None => {
+                let write = self.writes.len() as u64;
+                self.writes.push(WriteRecord {
+                    committed: None,
+                    session: identity,
+                    rolled_back: false,
+                });
+                OperationKind::Write { write }
+            }
+            Some(freshness) => {
+                let read = self.reads.len() as u64;
+                self.reads.push(ReadRecord {
+                    began_at: self.now,
+                    staleness: freshness.max_staleness(),
+                    session: identity,
+                    own_writes: matches!(freshness, ReadFreshness::OwnWrites { .. }),
+                    lacking: Vec::new(),
+                });
+                OperationKind::Read { read, freshness }
+            }
+        };
+        let is_frozen = self.frozen_until[host].is_some_and(|until| until > self.now);
+        if !is_frozen {
+            let operation = Operation { kind, session };
+            self.with_host(host, Event::Operate, |known, now, out| {
+                known.operate(operation, now, out);
+            });
+        }
+        self.after(OPERATION_INTERVAL, Event::Operate);
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::ReadAnswered { read } => {
+                self.figures.reads += 1;
+                self.delivered_reads.push(read);
+            }
+            Delivery::WriteAcknowledged { write } => self.acknowledge(write),
+        }
+    }
+
+    fn acknowledge(&mut self, write: u64) {
+        self.figures.acknowledged += 1;
+        self.acknowledged.push((write, self.now));
+        let record = &self.writes[write as usize];
+        let host = record.session.0;
+        if self.now >= self.faults_end {
+            self.first_write_after.entry(host).or_insert(self.now);
+        }
+        let Some(Commit { at, term, .. }) = record.committed else {
+            return self.break_rule(Fault::SupersededCommit, "not committed".to_owned());
+        };
+        let mut promotions = self.site.promotions.iter();
+        let later = promotions.find(|one| one.term > term && one.at <= at);
+        if let Some(later) = later {
+            let (committed, promoted) = (at - self.base, later.at - self.base);
+            self.break_rule(
+                Fault::SupersededCommit,
+                format!(
+                    "host {host} acknowledged a commit of term {term} at {committed:?}, \
+                     term {} since {promoted:?}",
+                    later.term
+                ),
+            );
+        }
+    }
+
+    fn check_reads(&mut self) {
+        for read in std::mem::take(&mut self.delivered_reads) {
+            let record = &self.reads[read as usize];
+            let lacking = record.lacking.iter();
+            let lacking = lacking.filter(|write| !self.writes[**write as usize].rolled_back);
+            if let Some(write) = lacking.copied().next() {
+                let text = format!(
+                    "read of {:?} begun at {:?} lacks write {write}: {:?}",
+                    record.session,
+                    record.began_at - self.base,
+                    self.writes[write as usize]
+                );
+                return self.break_rule(Fault::StaleRead, text);
+            }
+        }
+    }
+
+    fn check_recovery(&mut self) {
+        let hosts = self.hosts.iter().flatten();
+        self.figures.replica_reads = hosts.map(|host| host.replica_reads).sum();
+        for host in 0..HOSTS {
+            let served_at = self.first_write_after.get(&host);
+            let gap = served_at.map(|instant| *instant - self.faults_end);
+            let gap = gap.unwrap_or(RUN_FOR);
+            self.figures.longest_recovery = self.figures.longest_recovery.max(gap);
+            if gap > RECOVERY_LIMIT {
+                let text = format!("host {host} acknowledges no write for {gap:?}");
+                return self.break_rule(Fault::NotLive, text);
+            }
+        }
+    }
+
+    fn break_rule(&mut self, fault: Fault, text: String) {
+        self.violation.get_or_insert(Violation { fault, text });
+    }
+
+    fn primary(&self) -> usize {
+        let members = self.site.members.iter().enumerate();
+        let leading = members.filter(|(_, one)| one.leads);
+        leading
+            .max_by_key(|(_, one)| one.term)
+            .map_or(0, |(index, _)| index)
+    }
+
+    fn holder(&mut self) -> usize {
+        match self.orders.last() {
+            Some((holder, _)) => *holder,
+            None => self.random.random_range(0..HOSTS),
+        }
+    }
+
+    fn begin(&mut self, kind: FaultKind) {
+        let length = match kind {
+            FaultKind::SplitPrimary(_) => self.millis(4_000, 9_000),
+            _ => self.millis(300, 6_000),
+        };
+        if self.trace {
+            println!("{:?} {kind:?} for {length:?}", self.now - self.base);
+        }
+        self.faults_end = self.faults_end.max(self.now + length);
+        self.first_write_after.clear();
+        let mut effect = Effect::default();
+        self.cut(kind, &mut effect);
+        self.stop(kind, length);
+        match kind {
+            FaultKind::StoreDown => effect.store_down = true,
+            FaultKind::StoreLosesAnswers => effect.store_loses = true,
+            FaultKind::StoreActsLate => effect.store_late = true,
+            FaultKind::StoreSlow => effect.store_slow = true,
+            FaultKind::OrdersLost => effect.orders_lost = true,
+            FaultKind::Lag => effect.lag = true,
+            _ => {}
+        }
+        let id = self.next_effect;
+        self.next_effect += 1;
+        self.effects.insert(id, effect);
+        self.after(length, Event::End(id));
+    }
+
+    /// Enters the links that a fault cuts.
+    fn cut(&mut self, kind: FaultKind, effect: &mut Effect) {
+        let primary = Endpoint::Member(self.primary());
+        let hosts = || (0..HOSTS).map(Endpoint::Host);
+        let members = || (0..MEMBERS).map(Endpoint::Member);
+        let cuts = &mut effect.cuts;
+        match kind {
+            FaultKind::CutHostStore(host) => cuts.push((Endpoint::Host(host), Endpoint::Store)),
+            FaultKind::CutHostPromotion(host) => {
+                cuts.push((Endpoint::Host(host), Endpoint::Promotion));
+            }
+            FaultKind::CutPrimaryHosts => {
+                let cut: Vec<Endpoint> = hosts().filter(|_| self.random.random_bool(0.6)).collect();
+                cuts.extend(cut.into_iter().map(|host| (host, primary)));
+            }
+            FaultKind::CutHostMembers(host) => {
+                cuts.extend(members().map(|member| (Endpoint::Host(host), member)));
+            }
+            FaultKind::CutPrimaryReplicas => {
+                cuts.extend(members().map(|member| (primary, member)));
+            }
+            FaultKind::SplitPrimary(host) => {
+                cuts.extend(members().map(|member| (primary, member)));
+                let others = hosts().filter(|other| *other != Endpoint::Host(host));
+                cuts.extend(others.map(|other| (other, primary)));
+                let delay = self.millis(500, 3_500);
+                self.after(delay, Event::Begin(FaultKind::CutHostStore(host)));
+            }
+            FaultKind::IsolatePrimary => Self::isolate(primary, effect),
+            FaultKind::IsolateMember(member) => Self::isolate(Endpoint::Member(member), effect),
+            _ => {}
+        }
+    }
+
+    /// Stops the hosts or members that a fault hits.
+    fn stop(&mut self, kind: FaultKind, length: Duration) {
+        match kind {
+            FaultKind::KillHost(host) => self.kill_host(host, length),
+            FaultKind::KillHolder => {
+                let host = self.holder();
+                self.kill_host(host, length);
+            }
+            FaultKind::AllHostsKilled => {
+                for host in 0..HOSTS {
+                    self.kill_host(host, length);
+                }
+            }
+            FaultKind::FreezeHost(host) => self.freeze(host, length),
+            FaultKind::FreezeHolder => {
+                let host = self.holder();
+                self.freeze(host, length);
+            }
+            FaultKind::CrashPrimary => self.crash(self.primary(), length, false),
+            FaultKind::CrashMember(member) => self.crash(member, length, false),
+            FaultKind::RebornReplica(member) => self.crash(member, length, true),
+            FaultKind::DrainPrimary => {
+                let member = self.primary();
+                self.site.members[member].draining = true;
+                self.faults_end += Duration::from_secs(1);
+                let restart = Event::Restart {
+                    member,
+                    lost_data: false,
+                };
+                self.after(length + Duration::from_secs(1), restart);
+            }
+            _ => {}
+        }
+    }
+
+    fn isolate(endpoint: Endpoint, effect: &mut Effect) {
+        let hosts = (0..HOSTS).map(Endpoint::Host);
+        let members = (0..MEMBERS).map(Endpoint::Member);
+        let others = hosts.chain(members).chain([Endpoint::Store]);
+        let others = others.filter(|other| *other != endpoint);
+        effect.cuts.extend(others.map(|other| (endpoint, other)));
+    }
+
+    fn kill_host(&mut self, host: usize, length: Duration) {
+        if self.hosts[host].take().is_some() {
+            self.frozen_until[host] = None;
+            self.after(length, Event::StartHost(host));
+        }
+    }
+
+    fn freeze(&mut self, host: usize, length: Duration) {
+        self.frozen_until[host] = Some(self.now + length);
+    }
+
+    fn crash(&mut self, member: usize, length: Duration, lost_data: bool) {
+        if std::mem::replace(&mut self.site.members[member].alive, false) {
+            self.after(length, Event::Restart { member, lost_data });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/managed_steps.rs
@@ -0,0 +1,362 @@
+//! The steps of a change of primary, in order and after each kind of failure.
+
+#[path = "support/managed.rs"]
+mod managed_support;
+
+use std::time::{Duration, Instant};
+
+use coordination::managed::change::{ChangeReason, SurveyReply};
+use coordination::managed::change_steps::{
+    ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome,
+};
+use coordination::managed::duty::{DutyReading, DutyRow};
+use coordination::managed::group::ManagedGroup;
+use coordination::managed::reign::ASSURANCE;
+use googletest::prelude::*;
+use managed_support::{group_of_three, ms};
+use state::log::{LogPosition, Term};
+use state::member::MemberRole;
+
+/// A change in progress, at an instant of the test's choice.
+struct StepDriver {
+    group: ManagedGroup,
+    procedure: ChangeProcedure,
+    started: Instant,
+}
+
+impl StepDriver {
+    fn new(reason: ChangeReason) -> Self {
+        let started = Instant::now();
+        Self {
+            group: group_of_three(started),
+            procedure: ChangeProcedure::new("host-1", 11, reason),
+            started,
+        }
+    }
+
+    /// Enters an outcome some milliseconds after the start.
+    fn next(&mut self, outcome: StepOutcome, millis: u64) -> ChangeStep {
+        let now = self.started + ms(millis);
+        self.procedure.next(&self.group, outcome, now)
+    }
+
+    fn duty(&self, row: Option<DutyRow>) -> StepOutcome {
+        StepOutcome::Duty(DutyReading {
+            row,
+            revision: 4,
+            store_time: Duration::from_secs(60),
+            asked_at: self.started,
+        })
+    }
+
+    /// Carries a change on to its announcement, which is acknowledged after
+    /// 20 ms at revision 9, and returns the step after it.
+    fn announce(&mut self) -> ChangeStep {
+        assert_eq!(self.next(StepOutcome::Started, 0), ChangeStep::ReadDuty);
+        let duty = self.duty(None);
+        let step = self.next(duty, 5);
+        assert!(matches!(
+            step,
+            ChangeStep::WriteDuty {
+                expected_revision: 4,
+                ..
+            }
+        ));
+        let step = self.next(StepOutcome::Written { revision: 8 }, 10);
+        let ChangeStep::WriteReign {
+            row,
+            expected_revision,
+        } = step
+        else {
+            panic!("the duty is followed by the announcement");
+        };
+        assert_eq!(expected_revision, self.group.reign.revision());
+        assert!(row.change.is_some());
+        self.next(StepOutcome::Written { revision: 9 }, 20)
+    }
+
+    fn reply(&self, id: &str, role: MemberRole, term: u64, offset: u64) -> SurveyReply {
+        SurveyReply {
+            member: self.group.find(id).expect("a listed member"),
+            role,
+            term: Term(term),
+            received: LogPosition::new(1, offset),
+        }
+    }
+
+    fn replicas(&self) -> StepOutcome {
+        StepOutcome::Surveyed(vec![
+            self.reply("b", MemberRole::Replica, 1, 40),
+            self.reply("c", MemberRole::Replica, 1, 41),
+        ])
+    }
+
+    fn wait(&self, millis: u64) -> ChangeStep {
+        ChangeStep::Wait {
+            until: self.started + ms(millis),
+        }
+    }
+}
+
+/// The announcement of these tests is acknowledged 20 ms after their start.
+const ANNOUNCED: u64 = 20;
+
+#[gtest]
+fn a_primary_that_does_not_step_down_is_waited_out() {
+    let mut driver = StepDriver::new(ChangeReason::Unreachable);
+    let former = driver.group.find("a").unwrap();
+    let successor = driver.group.find("c").unwrap();
+    let assurance = ASSURANCE.as_millis() as u64;
+    expect_that!(
+        driver.announce(),
+        eq(&ChangeStep::StepDown {
+            member: former,
+            term: Term(2)
+        })
+    );
+    expect_that!(
+        driver.next(StepOutcome::SteppedDown(None), 520),
+        eq(&ChangeStep::Survey {
+            former: Some(former)
+        })
+    );
+    let replicas = driver.replicas();
+    let ChangeStep::Wait { until } = driver.next(replicas, 525) else {
+        panic!("the assurances are waited out");
+    };
+    let end = driver.started + ms(ANNOUNCED) + ASSURANCE;
+    expect_that!(until, gt(end));
+    let order = ChangeStep::Promote {
+        member: successor,
+        fencing_token: 1,
+    };
+    expect_that!(
+        driver.next(StepOutcome::Waited, assurance + 150),
+        eq(&order)
+    );
+    expect_that!(
+        driver.next(
+            StepOutcome::Ordered(OrderOutcome::Accepted),
+            assurance + 160
+        ),
+        eq(&ChangeStep::AskStatus { member: successor })
+    );
+    let leads = StepOutcome::Status(Some((MemberRole::Primary, Term(2))));
+    expect_that!(
+        driver.next(leads, assurance + 500),
+        eq(&driver.wait(ANNOUNCED + assurance))
+    );
+    let ChangeStep::WriteReign {
+        row,
+        expected_revision,
+    } = driver.next(StepOutcome::Waited, assurance + 500)
+    else {
+        panic!("the successor is followed by its row");
+    };
+    expect_that!(
+        (row.primary.as_str(), row.term, expected_revision),
+        eq(("c", Term(2), 9))
+    );
+    expect_that!(row.change, none());
+    let done = ChangeStep::Done {
+        primary: "c".to_owned(),
+        term: Term(2),
+    };
+    expect_that!(
+        driver.next(StepOutcome::Written { revision: 10 }, assurance + 510),
+        eq(&done)
+    );
+}
+
+#[gtest]
+fn a_primary_that_steps_down_is_not_waited_out() {
+    let mut driver = StepDriver::new(ChangeReason::Draining);
+    let former = driver.group.find("a").unwrap();
+    let successor = driver.group.find("c").unwrap();
+    let notice = driver.announce();
+    expect_that!(notice, matches_pattern!(ChangeStep::Wait { .. }));
+    expect_that!(
+        driver.next(StepOutcome::Waited, 420),
+        eq(&ChangeStep::StepDown {
+            member: former,
+            term: Term(2)
+        })
+    );
+    let end = LogPosition::new(1, 42);
+    expect_that!(
+        driver.next(StepOutcome::SteppedDown(Some(end)), 430),
+        eq(&ChangeStep::Survey {
+            former: Some(former)
+        })
+    );
+    // The last commits are still on their way to the replicas.
+    let behind = driver.replicas();
+    expect_that!(
+        driver.next(behind, 435),
+        matches_pattern!(ChangeStep::Wait { .. })
+    );
+    expect_that!(
+        driver.next(StepOutcome::Waited, 485),
+        eq(&ChangeStep::Survey {
+            former: Some(former)
+        })
+    );
+    let complete = StepOutcome::Surveyed(vec![driver.reply("c", MemberRole::Replica, 1, 42)]);
+    expect_that!(
+        driver.next(complete, 490),
+        eq(&ChangeStep::Promote {
+            member: successor,
+            fencing_token: 1
+        })
+    );
+}
+
+#[gtest]
+fn a_replica_that_does_not_catch_up_is_promoted_in_the_end() {
+    let mut driver = StepDriver::new(ChangeReason::Draining);
+    driver.announce();
+    driver.next(StepOutcome::Waited, 420);
+    let end = LogPosition::new(1, 99);
+    driver.next(StepOutcome::SteppedDown(Some(end)), 430);
+    let behind = driver.replicas();
+    expect_that!(
+        driver.next(behind, 940),
+        matches_pattern!(ChangeStep::Promote { .. })
+    );
+}
+
+/// Guards against a second promotion when the last holder of the duty died
+/// between its order and the new row.
+#[gtest]
+fn a_member_that_leads_already_only_gets_its_row() {
+    let mut driver = StepDriver::new(ChangeReason::Unfinished);
+    driver.announce();
+    driver.next(StepOutcome::SteppedDown(None), 30);
+    let leads = StepOutcome::Surveyed(vec![driver.reply("b", MemberRole::Primary, 2, 40)]);
+    let end = ANNOUNCED + ASSURANCE.as_millis() as u64;
+    expect_that!(driver.next(leads, 40), eq(&driver.wait(end)));
+    let step = driver.next(StepOutcome::Waited, end);
+    expect_that!(step, matches_pattern!(ChangeStep::WriteReign { .. }));
+}
+
+#[gtest]
+fn an_order_without_an_answer_is_sent_again_while_the_duty_lasts() {
+    let mut driver = StepDriver::new(ChangeReason::Unreachable);
+    driver.announce();
+    driver.next(StepOutcome::SteppedDown(Some(LogPosition::new(1, 1))), 30);
+    let replicas = driver.replicas();
+    let order = driver.next(replicas, 40);
+    expect_that!(order, matches_pattern!(ChangeStep::Promote { .. }));
+    let unknown = || StepOutcome::Ordered(OrderOutcome::Unknown);
+    expect_that!(
+        driver.next(unknown(), 840),
+        matches_pattern!(ChangeStep::Wait { .. })
+    );
+    expect_that!(driver.next(StepOutcome::Waited, 1_040), eq(&order));
+    expect_that!(
+        driver.next(unknown(), 2_700),
+        matches_pattern!(ChangeStep::Wait { .. })
+    );
+    expect_that!(
+        driver.next(StepOutcome::Waited, 2_900),
+        eq(&ChangeStep::Fail(ChangeFailure::DutyEnded))
+    );
+}
+
+#[gtest]
+fn a_change_is_given_up_for_a_reason() {
+    struct FailureCase {
+        name: &'static str,
+        story: fn(&mut StepDriver) -> ChangeStep,
+        expected: ChangeFailure,
+    }
+    let cases = [
+        FailureCase {
+            name: "another host holds the duty",
+            story: |driver| {
+                driver.next(StepOutcome::Started, 0);
+                let row = DutyRow {
+                    host: "host-2".to_owned(),
+                    incarnation: 5,
+                    fencing_token: 3,
+                    until_ms: 61_000,
+                };
+                let duty = driver.duty(Some(row));
+                driver.next(duty, 5)
+            },
+            expected: ChangeFailure::HeldElsewhere("host-2".to_owned()),
+        },
+        FailureCase {
+            name: "another host took the duty first",
+            story: |driver| {
+                driver.next(StepOutcome::Started, 0);
+                let duty = driver.duty(None);
+                driver.next(duty, 5);
+                driver.next(StepOutcome::Conflict, 10)
+            },
+            expected: ChangeFailure::Conflict,
+        },
+        FailureCase {
+            name: "nobody answers the survey",
+            story: |driver| {
+                driver.announce();
+                driver.next(StepOutcome::SteppedDown(None), 520);
+                driver.next(StepOutcome::Surveyed(Vec::new()), 1_020)
+            },
+            expected: ChangeFailure::NoCandidate,
+        },
+        FailureCase {
+            name: "the platform turns the member down",
+            story: |driver| {
+                driver.announce();
+                driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+                let replicas = driver.replicas();
+                driver.next(replicas, 40);
+                driver.next(StepOutcome::Ordered(OrderOutcome::Rejected), 50)
+            },
+            expected: ChangeFailure::NoCandidate,
+        },
+        FailureCase {
+            name: "the member does not lead in time",
+            story: |driver| {
+                driver.announce();
+                driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+                let replicas = driver.replicas();
+                driver.next(replicas, 40);
+                driver.next(StepOutcome::Ordered(OrderOutcome::Accepted), 50);
+                driver.next(StepOutcome::Status(None), 2_600)
+            },
+            expected: ChangeFailure::NotPromoted,
+        },
+        FailureCase {
+            name: "another host wrote the row meanwhile",
+            story: |driver| {
+                driver.announce();
+                driver.next(StepOutcome::SteppedDown(None), 30);
+                let leads = driver.reply("b", MemberRole::Primary, 2, 40);
+                driver.next(StepOutcome::Surveyed(vec![leads]), 40);
+                driver.next(StepOutcome::Waited, 1_100);
+                driver.next(StepOutcome::Conflict, 1_110)
+            },
+            expected: ChangeFailure::Conflict,
+        },
+    ];
+    for case in cases {
+        let mut driver = StepDriver::new(ChangeReason::Unreachable);
+        let step = (case.story)(&mut driver);
+        expect_that!(step, eq(&ChangeStep::Fail(case.expected)), "{}", case.name);
+    }
+}
+
+/// Guards against an order by a holder that was suspended after its survey.
+#[gtest]
+fn no_promotion_is_ordered_after_the_duty() {
+    let mut driver = StepDriver::new(ChangeReason::Unreachable);
+    driver.announce();
+    driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+    let replicas = driver.replicas();
+    expect_that!(
+        driver.next(replicas, 9_000),
+        eq(&ChangeStep::Fail(ChangeFailure::DutyEnded))
+    );
+}
