Prefer a successor of the newest term over a longer superseded log

Cause: found by the seeded model of managed groups (seed 3563): a primary that a promotion had superseded still led in its own eyes and had the longest log, as its last commits were rolled back; the survey chose it, the order changed nothing, and the group stayed without a primary.

Change: candidates are ordered by readiness, term, then log. A case in managed_change failed first; the seed stays as a regression case of the model. The other finding (seed 3520) was a fault of the model: a question to a member that had left the list was never answered there.

--- a/crates/coordination/src/managed/change.rs
+++ b/crates/coordination/src/managed/change.rs
@@ -117,8 +117,10 @@
     Wait,
 }
 
-/// Decides who leads next: the member that received most, a ready one before
-/// one that is about to stop. `former` is the primary to be replaced.
+/// Decides who leads next: a ready member before one that is about to stop, one
+/// of a later term before one of an earlier term, and then the one that received
+/// most. A member of an earlier term may hold commits that a promotion has
+/// rolled back. `former` is the primary to be replaced.
 pub fn decide_survey(
     group: &ManagedGroup,
     replies: &[SurveyReply],
@@ -141,7 +143,8 @@
         .max_by_key(|reply| {
             let server = &group.members[reply.member].server;
             let is_ready = server.state == ServerState::Ready;
-            (is_ready, reply.received, std::cmp::Reverse(&server.id))
+            let name = std::cmp::Reverse(&server.id);
+            (is_ready, reply.term, reply.received, name)
         });
     match best {
         Some(reply) => SurveyDecision::Promote {
--- a/crates/coordination/tests/managed_change.rs
+++ b/crates/coordination/tests/managed_change.rs
@@ -212,6 +212,12 @@
             replies: &[("a", REPLICA, 1, 90), ("b", REPLICA, 1, 1)],
             expected: Some("b"),
         },
+        SurveyCase {
+            name: "a replica of the present term before a superseded primary",
+            draining: &[],
+            replies: &[("b", REPLICA, 1, 40), ("c", MemberRole::Primary, 0, 41)],
+            expected: Some("b"),
+        },
         SurveyCase {
             name: "nobody answered",
             draining: &[],
--- a/crates/coordination/tests/managed_model.rs
+++ b/crates/coordination/tests/managed_model.rs
@@ -232,6 +232,18 @@
     expect_that!(total.longest_recovery, le(Duration::from_secs(8)));
 }
 
+/// Seeds that once failed, with the cause:
+/// 3563, a superseded primary with the longest log was chosen as successor, and
+/// the platform took the order for one that changes nothing.
+#[gtest]
+fn seeds_that_once_failed_hold() {
+    for seed in [3_563] {
+        let report = run_seeds(seed, 1, Decision::Real).remove(0);
+        let violation = report.violation.map(|found| found.text);
+        expect_that!(violation, none(), "seed {seed}");
+    }
+}
+
 /// Guards against a model that is too weak to notice a wrong decision.
 #[gtest]
 fn the_model_catches_wrong_decisions() {
--- a/crates/coordination/tests/managed_model/entry_host.rs
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -185,7 +185,7 @@
         out: &mut Outbox,
     ) {
         let Some(known) = self.group.members.get(member) else {
-            return;
+            return self.fail_call(kind, now, out);
         };
         let to = Endpoint::Member(member_index(&known.server.id));
         let timeout = match kind {
@@ -195,6 +195,14 @@
         self.call(to, kind, Request::Member(request), timeout, now, out);
     }
 
+    /// A question to a member that has left the list fails at once.
+    fn fail_call(&mut self, kind: CallKind, now: Instant, out: &mut Outbox) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, OpenCall { kind, sent_at: now });
+        out.timers.push((now, Timer::CallTimeout(id)));
+    }
+
     pub fn on_timer(&mut self, timer: Timer, now: Instant, out: &mut Outbox) {
         match timer {
             Timer::Rows => self.ask_store(CallKind::Rows, Request::ReadRows, now, out),
