Read the store less often

Ruled out: long polls of the rows in place of reads. A watch may hear nothing for a second while rows change (platform_compact), so its silence assures nothing.

Change: rows every 600 ms; during a change not before the row of a successor can come, then every 100 ms, and as usual when the change is stuck; lists every 1.5 s; host rows every 10 s. Test of the load pattern: managed_relay, the row is read often only when a successor is expected.

--- a/crates/coordination/src/managed/reign.rs
+++ b/crates/coordination/src/managed/reign.rs
@@ -22,6 +22,18 @@
 /// unplanned change of primary (target: 8 s) and must exceed the interval of
 /// the reads by a slow answer of the store.
 pub const ASSURANCE: Duration = Duration::from_millis(1_000);
+/// Interval of the reads of the row: one read may be lost or slow before an
+/// assurance ends.
+pub const READ_INTERVAL: Duration = Duration::from_millis(600);
+/// The same while the row of a successor is expected.
+const READ_INTERVAL_CHANGING: Duration = Duration::from_millis(100);
+/// Time from the first sight of an announcement until the row of a successor is
+/// expected: it follows all assurances, and the announcement may be as old as
+/// the last read.
+const SUCCESSOR_EXPECTED: Duration =
+    Duration::from_millis((ASSURANCE.as_millis() - READ_INTERVAL.as_millis()) as u64);
+/// Time after which a change is taken for stuck and read about as usual.
+const CHANGE_STUCK: Duration = Duration::from_secs(3);
 /// Extra wait of a successor that was found without the store: the difference
 /// between the instants at which hosts may have read the row.
 const ADOPTION_MARGIN: Duration = Duration::from_millis(500);
@@ -111,6 +123,8 @@
     stepped_down: bool,
     /// Instant at which the present lack of a primary was first seen.
     lacking_since: Option<Instant>,
+    /// Instant at which the present change of primary was first seen.
+    changing_since: Option<Instant>,
 }
 
 impl ReignView {
@@ -150,8 +164,25 @@
         self.lacking_since
     }
 
+    /// Returns the time until the next read of the row.
+    pub fn read_interval(&self, now: Instant) -> Duration {
+        let Some(since) = self.changing_since else {
+            return READ_INTERVAL;
+        };
+        let elapsed = now.saturating_duration_since(since);
+        if elapsed >= CHANGE_STUCK {
+            return READ_INTERVAL;
+        }
+        let left = SUCCESSOR_EXPECTED.saturating_sub(elapsed);
+        left.max(READ_INTERVAL_CHANGING)
+    }
+
     /// Enters the instant of a look at the group.
     pub fn observe_lack(&mut self, now: Instant) {
+        self.changing_since = match self.is_changing() {
+            true => self.changing_since.or(Some(now)),
+            false => None,
+        };
         match self.primary() {
             Some(_) => self.lacking_since = None,
             None => {
--- a/crates/coordination/tests/managed_model/entry_host.rs
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -19,10 +19,8 @@
 use super::site::member_index;
 use super::{Answer, Decision, Delivery, Endpoint, MemberRequest, Outbox, Request, RowValue};
 
-const ROWS_INTERVAL: Duration = Duration::from_millis(400);
-const ROWS_INTERVAL_BUSY: Duration = Duration::from_millis(100);
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
-const LIST_GAP: Duration = Duration::from_millis(2_500);
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
+const LIST_GAP: Duration = Duration::from_millis(3_500);
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 const ASSURANCE_RESERVE: Duration = Duration::from_millis(200);
 const WATERMARK_AGE: Duration = Duration::from_millis(600);
@@ -417,12 +415,7 @@
                 if let Some(Answer::Rows { reign, .. }) = answer {
                     self.observe_reign(reign, call.sent_at, now);
                 }
-                let busy = self.group.reign.is_changing();
-                let interval = if busy {
-                    ROWS_INTERVAL_BUSY
-                } else {
-                    ROWS_INTERVAL
-                };
+                let interval = self.group.reign.read_interval(now);
                 out.timers.push((now + interval, Timer::Rows));
             }
             CallKind::List => {
--- a/crates/coordination/tests/managed_relay.rs
+++ b/crates/coordination/tests/managed_relay.rs
@@ -1,14 +1,15 @@
-//! Which host reads the store, and how old a reading of another host is.
+//! Which host reads the store and how often, and how old a reading of another
+//! host is.
+
+#[path = "support/managed.rs"]
+mod managed_support;
 
 use std::time::{Duration, Instant};
 
 use coordination::managed::reader::{ReaderChoice, ReaderHost};
 use coordination::managed::store_clock::StoreClock;
 use googletest::prelude::*;
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
+use managed_support::{announcement, group_of_three, ms, reign};
 
 fn hosts(names: &[&str]) -> Vec<ReaderHost<()>> {
     let host = |name: &&str| ReaderHost {
@@ -77,3 +78,54 @@
     let derived = clock.instant_of(ms(9_000)).unwrap();
     expect_that!(true_instant(9_000) - derived, eq(ms(20)));
 }
+
+/// Load pattern: every host's reader asked ten times a second during each
+/// change of primary, though the row of a successor cannot come before all
+/// assurances have ended, and for as long as a change was stuck.
+#[gtest]
+fn the_row_is_read_often_only_when_a_successor_is_expected() {
+    struct IntervalCase {
+        name: &'static str,
+        changing: bool,
+        elapsed: Duration,
+        expected: Duration,
+    }
+    let cases = [
+        IntervalCase {
+            name: "a calm group",
+            changing: false,
+            elapsed: ms(60_000),
+            expected: ms(600),
+        },
+        IntervalCase {
+            name: "right after the announcement was seen",
+            changing: true,
+            elapsed: ms(0),
+            expected: ms(400),
+        },
+        IntervalCase {
+            name: "the successor may be there",
+            changing: true,
+            elapsed: ms(500),
+            expected: ms(100),
+        },
+        IntervalCase {
+            name: "a change that is stuck",
+            changing: true,
+            elapsed: ms(3_000),
+            expected: ms(600),
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut group = group_of_three(now);
+        if case.changing {
+            let mut row = reign("a", 1);
+            row.change = Some(announcement());
+            group.observe_row(&row, 9, now, now);
+        }
+        group.reign.observe_lack(now);
+        let interval = group.reign.read_interval(now + case.elapsed);
+        expect_that!(interval, eq(case.expected), "{}", case.name);
+    }
+}
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -28,16 +28,16 @@
 /// Largest message: a plan of several hundred routes with the rows of a site.
 const FRAME_LIMIT_BYTES: usize = 4 << 20;
 /// Longest wait of one call. The reader normally has a new reading every
-/// 400 ms.
-const CALL_WAIT: Duration = Duration::from_millis(600);
+/// 600 ms.
+const CALL_WAIT: Duration = Duration::from_millis(750);
 /// Time beyond it until the reader counts as lost.
 const CALL_SLACK: Duration = Duration::from_millis(100);
 /// Interval at which a host that reads by itself looks for a reader.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
 /// Age of the last relayed reading up to which the host does not read itself.
-const REIGNS_FRESH: Duration = Duration::from_millis(750);
+const REIGNS_FRESH: Duration = Duration::from_millis(850);
 /// The same for the list and the plan, which are read less often.
-const OTHERS_FRESH: Duration = Duration::from_millis(2_500);
+const OTHERS_FRESH: Duration = Duration::from_millis(3_000);
 /// Pause after `accept` failed, for instance for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coordination::managed::reader::ReaderHost;
-use coordination::managed::reign::ReignRow;
+use coordination::managed::reign::{ReignRow, READ_INTERVAL};
 use serde::{Deserialize, Serialize};
 use state::clock::MonotonicClock;
 use state::listing::ListedServer;
@@ -22,27 +22,22 @@
 
 /// Prefix of the keys of the groups' rows.
 const GROUP_PREFIX: &str = "group/";
-/// Interval of the reads of the groups' rows. Two reads in a row may fail
-/// before an assurance ends.
-const REIGN_INTERVAL: Duration = Duration::from_millis(400);
-/// Interval while a change of primary is under way.
-const REIGN_INTERVAL_BUSY: Duration = Duration::from_millis(100);
 /// Interval of the reads of the list of backend servers: a member that is about
-/// to stop gets no new work after 3 s.
-const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// to stop gets no new work after 2 s.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time without a reading of the list that counts as an outage of the store: a
 /// lost reading and a slow one fit in.
-const LIST_GAP: Duration = Duration::from_millis(2_500);
+const LIST_GAP: Duration = Duration::from_millis(3_500);
 /// Interval at which a host that is served by another one checks that.
 const RELAY_CHECK: Duration = Duration::from_millis(50);
 /// Interval at which a host renews its own row and counts the others.
-const HOST_INTERVAL: Duration = Duration::from_secs(6);
+const HOST_INTERVAL: Duration = Duration::from_secs(10);
 /// The same for the first renewal, so that hosts that start together soon know
 /// each other.
 const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Time after which a host whose row does not change counts as dead: one
 /// renewal may be lost.
-const HOST_LIFETIME: Duration = Duration::from_secs(14);
+const HOST_LIFETIME: Duration = Duration::from_secs(22);
 /// Time that a status question for the first row of a group may take.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -90,15 +85,12 @@
                 }
             }
         }
+        let now = context.clock.now();
         let groups = context.groups();
-        let is_busy = groups
+        let intervals = groups
             .iter()
-            .any(|group| group.with(|group| group.reign.is_changing()));
-        sleep(match is_busy {
-            true => REIGN_INTERVAL_BUSY,
-            false => REIGN_INTERVAL,
-        })
-        .await;
+            .map(|group| group.with(|group| group.reign.read_interval(now)));
+        sleep(intervals.min().unwrap_or(READ_INTERVAL)).await;
     }
 }
 
