Add a fault soak of separate processes in front of the stand-in platform

Change: package soak. Three daemons, a relay on each path (host to member, host to store, callers to host), seeded faults in series and overlapping (cuts, stalls, silence, delay, a primary split from all hosts but one without the store, an outage of the store, pauses, kills, stops in order, reloads, killed and draining members, held replication), callers that keep using open connections, and a comparison of what they saw with the log: lost, doubled, torn and falsely refused writes, stale reads, signatures, processes that end by themselves, log lines, memory, service within 8 s of the last fault. The comparison has a table of cases. The stand-in gives each host addresses of its own, lets killed members keep their port and start again, and lets superseded primaries step down.

--- /dev/null
+++ b/crates/soak/examples/soak.rs
@@ -0,0 +1,87 @@
+//! Runs the soak by hand, one seed after the other.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use soak::soak_run::{built_program, play, SoakOptions, SoakReport};
+
+/// Randomized faults against separate processes.
+#[derive(FromArgs)]
+struct Arguments {
+    /// first seed (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds (default: 50)
+    #[argh(option, default = "50")]
+    runs: u64,
+    /// seconds during which faults begin (default: 15)
+    #[argh(option, default = "15")]
+    length_s: u64,
+    /// callers at the same time (default: 12)
+    #[argh(option, default = "12")]
+    callers: usize,
+    /// daemon's program (default: that of this build)
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// folder that keeps the logs of runs with findings
+    #[argh(option, default = "std::env::temp_dir().join(\"cassia-soak\")")]
+    folder: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let mut failed = Vec::new();
+    for seed in arguments.seed..arguments.seed.saturating_add(arguments.runs) {
+        match run_seed(&arguments, seed).await {
+            Ok(report) if report.findings.is_empty() => {}
+            Ok(_) => failed.push(seed),
+            Err(error) => {
+                eprintln!("seed {seed}: {error}");
+                failed.push(seed);
+            }
+        }
+    }
+    println!("{} seeds, failed: {failed:?}", arguments.runs);
+    match failed.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
+
+async fn run_seed(arguments: &Arguments, seed: u64) -> soak::soak_run::Result<SoakReport> {
+    let options = SoakOptions {
+        program: match &arguments.program {
+            Some(program) => program.clone(),
+            None => built_program()?,
+        },
+        folder: arguments.folder.join(format!("seed-{seed}")),
+        seed,
+        length: Duration::from_secs(arguments.length_s),
+        callers: arguments.callers,
+    };
+    let report = play(&options).await?;
+    println!(
+        "seed {seed}: {} of {} writes accepted, {} reads, {} promotions, longest gap {:?}, \
+         recovery {:?}, {} KiB",
+        report.writes.1,
+        report.writes.0,
+        report.reads,
+        report.promotions,
+        report.longest_gap,
+        report.recovery,
+        report.peak_memory_kib
+    );
+    if !report.findings.is_empty() {
+        println!("logs in {}", options.folder.display());
+        for fault in &report.faults {
+            println!("  {fault}");
+        }
+        for finding in report.findings.iter().take(10) {
+            println!("  {finding}");
+        }
+    }
+    Ok(report)
+}
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -4,6 +4,7 @@
 //! Borders: small and in memory. It keeps the published promises that the
 //! adapter relies on and has switches for faults.
 
+mod caller;
 mod member;
 mod store;
 
@@ -15,9 +16,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+pub use caller::{LineCaller, PROMISE_CODES};
 pub use member::MemberSnapshot;
 use member::{GroupState, MemberState};
-use store::StoreState;
+use store::{StoreState, StoreView};
 
 /// Name of the stand-in's only group.
 pub const GROUP: &str = "birds-db";
@@ -40,6 +42,8 @@
     service: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
     members: Vec<JoinHandle<()>>,
+    /// Listeners of the members; a killed member keeps its address.
+    listeners: Vec<Arc<TcpListener>>,
 }
 
 impl Drop for ManagedSite {
@@ -59,18 +63,24 @@
         let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let listener = TcpListener::bind(loopback).await?;
         let service = listener.local_addr()?;
+        let view = StoreView {
+            site: state.clone(),
+            endpoints: Arc::default(),
+        };
         let mut site = Self {
-            tasks: vec![tokio::spawn(store::serve(listener, state.clone()))],
+            tasks: vec![tokio::spawn(store::serve(listener, view))],
             members: Vec::new(),
+            listeners: Vec::new(),
             state,
             service,
         };
         for index in 0..members {
-            let listener = TcpListener::bind(loopback).await?;
+            let listener = Arc::new(TcpListener::bind(loopback).await?);
             let member = MemberState::new(index, listener.local_addr()?);
             site.lock().group.members.push(member);
-            let serving = member::serve(listener, index, site.state.clone());
+            let serving = member::serve(listener.clone(), index, site.state.clone());
             site.members.push(tokio::spawn(serving));
+            site.listeners.push(listener);
         }
         site.tasks.push(tokio::spawn(beat(site.state.clone())));
         site.configure(1, &["current", "bounded", "own"]);
@@ -82,6 +92,50 @@
         self.service
     }
 
+    /// Serves the store and the promotion call at another address, with other
+    /// addresses for the members, in their order.
+    pub async fn add_view(&mut self, endpoints: &[SocketAddr]) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
+        let address = listener.local_addr()?;
+        let by_id = {
+            let site = self.lock();
+            let members = site.group.members.iter().zip(endpoints);
+            members
+                .map(|(member, endpoint)| (member.id.clone(), *endpoint))
+                .collect()
+        };
+        let view = StoreView {
+            site: self.state.clone(),
+            endpoints: Arc::new(by_id),
+        };
+        self.tasks.push(tokio::spawn(store::serve(listener, view)));
+        Ok(address)
+    }
+
+    /// Returns the address of a member.
+    pub fn member_address(&self, index: usize) -> SocketAddr {
+        self.lock().group.members[index].address
+    }
+
+    /// Tells whether a member is not killed.
+    pub fn is_alive(&self, index: usize) -> bool {
+        self.lock().group.members[index].alive
+    }
+
+    /// Starts a killed member again, with its log.
+    pub fn restart(&mut self, index: usize) {
+        self.members[index].abort();
+        let listener = self.listeners[index].clone();
+        let serving = member::serve(listener, index, self.state.clone());
+        self.members[index] = tokio::spawn(serving);
+        self.lock().group.members[index].restart();
+    }
+
+    /// Returns the data of commits that promotions dropped.
+    pub fn rolled_back(&self) -> Vec<String> {
+        self.lock().group.rolled_back.clone()
+    }
+
     /// Writes a version of the configuration with the given routes.
     pub fn configure(&self, version: u64, databases: &[&str]) {
         let value = store::configuration(version, databases);
@@ -102,8 +156,10 @@
 
     /// Kills a member: its connections close, its address refuses, and its
     /// entry is removed.
-    pub fn kill(&self, index: usize) {
+    pub fn kill(&mut self, index: usize) {
         self.members[index].abort();
+        let refusing = member::refuse(self.listeners[index].clone());
+        self.members[index] = tokio::spawn(refusing);
         let mut state = self.lock();
         state.group.members[index].alive = false;
         let id = state.group.members[index].id.clone();
@@ -145,6 +201,7 @@
         {
             let mut site = lock(&state);
             let SiteState { store, group } = &mut *site;
+            group.demote_superseded();
             for member in group.members.iter_mut().filter(|member| member.alive) {
                 member.heartbeat += 1;
                 store.put("servers", &member.id, member.entry().into_bytes());
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
@@ -11,6 +12,9 @@
 
 use super::{lock, SiteState, GROUP};
 
+/// Time after which a superseded primary follows its successor.
+const SUPERSEDED_AFTER: Duration = Duration::from_secs(1);
+
 /// An entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct LogEntry {
@@ -39,7 +43,11 @@
     pub(super) alive: bool,
     pub(super) draining: bool,
     pub(super) heartbeat: u64,
-    address: SocketAddr,
+    /// Number of its starts; its entry gives it as the time of its start.
+    starts: u64,
+    /// Since when a successor leads while this member leads, too.
+    superseded_at: Option<Instant>,
+    pub(super) address: SocketAddr,
     zone: String,
     leads: bool,
     term: u64,
@@ -54,6 +62,8 @@
             alive: true,
             draining: false,
             heartbeat: 0,
+            starts: 1,
+            superseded_at: None,
             address,
             zone: format!("zone-{index}"),
             leads: index == 0,
@@ -64,12 +74,17 @@
     }
 
     pub(super) fn entry(&self) -> String {
+        self.entry_at(self.address)
+    }
+
+    /// Returns the entry with another address.
+    pub(super) fn entry_at(&self, endpoint: SocketAddr) -> String {
         let state = if self.draining { "draining" } else { "ready" };
         let role = if self.leads { "primary" } else { "replica" };
         json!({
-            "service": GROUP, "endpoint": self.address.to_string(), "zone": self.zone,
+            "service": GROUP, "endpoint": endpoint.to_string(), "zone": self.zone,
             "version": "v1", "capacity": 4, "state": state, "coldLeftMs": 0,
-            "dbRole": role, "sequence": self.heartbeat, "born": 1,
+            "dbRole": role, "sequence": self.heartbeat, "born": self.starts,
         })
         .to_string()
     }
@@ -92,9 +107,21 @@
 
     /// Tells whether the log holds TERM.NUMBER.
     fn holds(&self, position: &str) -> bool {
-        let number = position.split_once('.').map(|(_, number)| number);
-        let number = number.and_then(|text| text.parse::<usize>().ok());
-        number.is_some_and(|number| number <= self.log.len())
+        let Some((term, number)) = position.split_once('.') else {
+            return false;
+        };
+        let (Ok(term), Ok(number)) = (term.parse::<u64>(), number.parse::<usize>()) else {
+            return false;
+        };
+        let entry = number.checked_sub(1).and_then(|index| self.log.get(index));
+        entry.is_some_and(|entry| entry.term == term)
+    }
+
+    /// Lets the member start again, with its log.
+    pub(super) fn restart(&mut self) {
+        self.alive = true;
+        self.draining = false;
+        self.starts += 1;
     }
 }
 
@@ -104,6 +131,8 @@
     pub(super) members: Vec<MemberState>,
     pub(super) hold: bool,
     pub(super) promotions: Vec<u64>,
+    /// Data of commits that promotions dropped.
+    pub(super) rolled_back: Vec<String>,
 }
 
 impl GroupState {
@@ -132,11 +161,38 @@
     }
 
     pub(super) fn promote(&mut self, id: &str) {
+        let present = self.primary();
+        let Some(index) = self
+            .members
+            .iter()
+            .position(|one| one.id == id && one.alive)
+        else {
+            return;
+        };
+        if index == present && self.members[index].leads {
+            return;
+        }
+        let kept = self.members[index].log.len();
+        let dropped = self.members[present].log.iter().skip(kept);
+        self.rolled_back
+            .extend(dropped.map(|entry| entry.data.clone()));
         let term = self.members.iter().map(|one| one.term).max().unwrap_or(0) + 1;
-        for member in &mut self.members {
-            if member.id == id {
-                member.leads = true;
-                member.term = term;
+        self.members[index].leads = true;
+        self.members[index].term = term;
+        self.replicate();
+    }
+
+    /// Lets primaries step down that a later one has superseded for a while.
+    pub(super) fn demote_superseded(&mut self) {
+        let newest = self.primary();
+        for (index, member) in self.members.iter_mut().enumerate() {
+            if index == newest || !member.leads {
+                member.superseded_at = None;
+                continue;
+            }
+            let since = *member.superseded_at.get_or_insert_with(Instant::now);
+            if since.elapsed() >= SUPERSEDED_AFTER || !member.alive {
+                member.leads = false;
             }
         }
         self.replicate();
@@ -154,13 +210,22 @@
 }
 
 /// Serves a member until the future is dropped, which closes its connections.
-pub(super) async fn serve(listener: TcpListener, index: usize, state: Arc<Mutex<SiteState>>) {
+pub(super) async fn serve(listener: Arc<TcpListener>, index: usize, state: Arc<Mutex<SiteState>>) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         connections.spawn(talk(stream, index, state.clone()));
     }
 }
 
+/// Resets all connections of a killed member until the future is dropped.
+pub(super) async fn refuse(listener: Arc<TcpListener>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if let Err(error) = stream.set_zero_linger() {
+            log::warn!("a connection of a killed member is not reset: {error}");
+        }
+    }
+}
+
 async fn talk(
     stream: TcpStream,
     index: usize,
--- a/crates/standin/src/managed/store.rs
+++ b/crates/standin/src/managed/store.rs
@@ -1,6 +1,7 @@
 //! The metadata store and the promotion call over HTTP.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,9 +19,34 @@
 /// Interval at which a waiting reader of changes looks again.
 const FEED_POLL: Duration = Duration::from_millis(5);
 
-type Shared = State<Arc<Mutex<SiteState>>>;
+type Shared = State<StoreView>;
 type Answer = (StatusCode, Json<Value>);
 
+/// The store as one host sees it.
+#[derive(Clone, Debug)]
+pub(super) struct StoreView {
+    pub(super) site: Arc<Mutex<SiteState>>,
+    /// Addresses that replace those of the members, by identity.
+    pub(super) endpoints: Arc<HashMap<String, SocketAddr>>,
+}
+
+impl StoreView {
+    fn answer(&self, site: &mut SiteState, table: &str, after: u64) -> Value {
+        let mut answer = site.store.answer(table, after);
+        if table != "servers" || self.endpoints.is_empty() {
+            return answer;
+        }
+        for row in answer["rows"].as_array_mut().into_iter().flatten() {
+            let key = row["key"].as_str().unwrap_or("").to_owned();
+            let member = site.group.members.iter().find(|one| one.id == key);
+            if let (Some(member), Some(endpoint)) = (member, self.endpoints.get(&key)) {
+                row["value"] = BASE64_STANDARD.encode(member.entry_at(*endpoint)).into();
+            }
+        }
+        answer
+    }
+}
+
 /// A row with its version.
 #[derive(Debug)]
 struct RowState {
@@ -111,13 +137,13 @@
 }
 
 /// Serves the store and the promotion call until the future is dropped.
-pub(super) async fn serve(listener: TcpListener, state: Arc<Mutex<SiteState>>) {
+pub(super) async fn serve(listener: TcpListener, view: StoreView) {
     let router = Router::new()
         .route("/v1/rows-get", get(rows_get))
         .route("/v1/rows-feed", get(rows_feed))
         .route("/v1/rows-tx", post(rows_tx))
         .route("/failover", post(failover))
-        .with_state(state);
+        .with_state(view);
     if let Err(error) = axum::serve(listener, router).await {
         log::error!("the stand-in store has ended: {error}");
     }
@@ -127,16 +153,16 @@
     (StatusCode::SERVICE_UNAVAILABLE, Json(json!({})))
 }
 
-async fn rows_get(State(state): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
-    let mut site = lock(&state);
+async fn rows_get(State(view): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
+    let mut site = lock(&view.site);
     if site.store.down {
         return unavailable();
     }
     let table = query.get("table").map_or("", String::as_str);
-    (StatusCode::OK, Json(site.store.answer(table, 0)))
+    (StatusCode::OK, Json(view.answer(&mut site, table, 0)))
 }
 
-async fn rows_feed(State(state): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
+async fn rows_feed(State(view): Shared, Query(query): Query<HashMap<String, String>>) -> Answer {
     let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
     let table = query.get("table").map_or("", String::as_str);
     let after = number("after").unwrap_or(0);
@@ -144,11 +170,11 @@
     let end = Instant::now() + wait;
     loop {
         {
-            let mut site = lock(&state);
+            let mut site = lock(&view.site);
             if site.store.down {
                 return unavailable();
             }
-            let answer = site.store.answer(table, after);
+            let answer = view.answer(&mut site, table, after);
             let has_rows = answer["rows"]
                 .as_array()
                 .is_some_and(|rows| !rows.is_empty());
@@ -160,8 +186,8 @@
     }
 }
 
-async fn rows_tx(State(state): Shared, Json(body): Json<Value>) -> Answer {
-    let mut site = lock(&state);
+async fn rows_tx(State(view): Shared, Json(body): Json<Value>) -> Answer {
+    let mut site = lock(&view.site);
     if site.store.down {
         return unavailable();
     }
@@ -192,14 +218,14 @@
     (StatusCode::OK, Json(answer))
 }
 
-async fn failover(State(state): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Answer {
+async fn failover(State(view): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Answer {
     let token = headers
         .get("Fence-Token")
         .and_then(|value| value.to_str().ok());
     let token = token.and_then(|text| text.parse().ok()).unwrap_or(0);
     let id = body["id"].as_str().unwrap_or("").to_owned();
     {
-        let mut site = lock(&state);
+        let mut site = lock(&view.site);
         site.group.promotions.push(token);
         let known = site
             .group
@@ -212,7 +238,7 @@
     }
     tokio::spawn(async move {
         sleep(PROMOTION_TIME).await;
-        lock(&state).group.promote(&id);
+        lock(&view.site).group.promote(&id);
     });
     (StatusCode::OK, Json(json!({})))
 }
