Mend the stand-in's replication after a step-down and the soak's addresses

Change: the stand-in replicates from the member that was promoted last, while it leads; daemons of the soak have loopback addresses of their own. A split of the primary lasts 4 to 6.5 s, so that other hosts replace it.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,10 @@
 /// Longest fault: longer than an assurance, a duty and a change of primary.
 const LONGEST_MS: u64 = 4_500;
 
+/// Lengths of a split, around the time after which other hosts have replaced a
+/// primary that still sends heartbeats.
+const SPLIT_MS: std::ops::Range<u64> = 4_000..6_500;
+
 /// A fault from outside the processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FaultKind {
@@ -73,7 +77,10 @@
         let kind = draw(random);
         let repeats = if random.random_bool(0.2) { 3 } else { 1 };
         for _ in 0..repeats {
-            let millis = random.random_range(SHORTEST_MS..LONGEST_MS);
+            let millis = match kind {
+                FaultKind::SplitPrimary { .. } => random.random_range(SPLIT_MS),
+                _ => random.random_range(SHORTEST_MS..LONGEST_MS),
+            };
             let length = Duration::from_millis(millis);
             faults.push(PlannedFault { at, kind, length });
             at += Duration::from_millis(random.random_range(100..2_500));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,12 +4,12 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use standin::managed::ManagedSite;
 use standin::relay::TcpRelay;
 use state::entry::{EntrySettings, StoreSettings};
-use tokio::net::TcpListener;
 
 use crate::daemon::DaemonProcess;
 use crate::faults::FaultKind;
@@ -26,6 +26,9 @@
 /// statement timeout.
 const SLOW_PATH: Duration = Duration::from_millis(300);
 
+/// Counts the sites of this process, so that each has addresses of its own.
+static SITES: AtomicU8 = AtomicU8::new(0);
+
 /// Result of an operation on the site.
 pub(crate) type Result<T> = io::Result<T>;
 
@@ -43,6 +46,8 @@
 /// A site under test.
 #[derive(Debug)]
 pub(crate) struct SoakSite {
+    /// Number of the site in this process.
+    number: u8,
     platform: ManagedSite,
     program: PathBuf,
     hosts: Vec<SoakHost>,
@@ -54,6 +59,7 @@
     /// Starts a stand-in and the daemons, whose logs lie in `folder`.
     pub(crate) async fn start(program: &Path, folder: &Path) -> Result<Self> {
         let mut site = Self {
+            number: SITES.fetch_add(1, Ordering::Relaxed),
             platform: ManagedSite::start(MEMBERS).await?,
             program: program.to_owned(),
             hosts: Vec::new(),
@@ -74,7 +80,7 @@
         }
         let endpoints: Vec<SocketAddr> = members.iter().map(TcpRelay::address).collect();
         let store = TcpRelay::start(self.platform.add_view(&endpoints).await?).await?;
-        let settings = settings(index, store.address()).await?;
+        let settings = settings(self.number, index, store.address());
         let callers = TcpRelay::start(settings.caller_address).await?;
         let file = folder.join(format!("host-{index}.toml"));
         let text = toml::to_string(&settings).map_err(io::Error::other)?;
@@ -317,24 +323,25 @@
     }
 }
 
-async fn settings(index: usize, store: SocketAddr) -> Result<EntrySettings> {
+/// Returns the settings of a host. Each host has a loopback address of its own,
+/// so that no connection takes its ports while it is down.
+fn settings(site: u8, index: usize, store: SocketAddr) -> EntrySettings {
+    let host = u8::try_from(index + 1).expect("a site has a few hosts");
+    let process = (std::process::id() % 250) as u8;
+    let ip = Ipv4Addr::new(127, 100 + process / 5, site, (process % 5) * 50 + host);
+    let address = |port| SocketAddr::from((ip, port));
     let data_centre = format!("zone-{index}");
-    Ok(EntrySettings {
+    EntrySettings {
         host: format!("edge-{index}"),
         regions: BTreeMap::from([(data_centre.clone(), "region-1".to_owned())]),
         data_centre,
-        caller_address: free_address().await?,
-        readiness_address: free_address().await?,
-        metrics_address: free_address().await?,
-        relay_address: free_address().await?,
+        caller_address: address(6_432),
+        readiness_address: address(6_433),
+        metrics_address: address(6_434),
+        relay_address: address(6_435),
         store: StoreSettings { address: store },
         promotion_address: Some(store),
         grace_s: GRACE.as_secs_f64(),
         descriptor_limit: 1_024,
-    })
-}
-
-async fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    listener.local_addr()
+    }
 }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -128,7 +128,7 @@
         let listener = self.listeners[index].clone();
         let serving = member::serve(listener, index, self.state.clone());
         self.members[index] = tokio::spawn(serving);
-        self.lock().group.members[index].restart();
+        self.lock().group.restart(index);
     }
 
     /// Returns the data of commits that promotions dropped.
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -116,13 +116,6 @@
         let entry = number.checked_sub(1).and_then(|index| self.log.get(index));
         entry.is_some_and(|entry| entry.term == term)
     }
-
-    /// Lets the member start again, with its log.
-    pub(super) fn restart(&mut self) {
-        self.alive = true;
-        self.draining = false;
-        self.starts += 1;
-    }
 }
 
 /// The group.
@@ -130,30 +123,28 @@
 pub(super) struct GroupState {
     pub(super) members: Vec<MemberState>,
     pub(super) hold: bool,
+    /// Index of the member that was promoted last.
+    primary: usize,
     pub(super) promotions: Vec<u64>,
     /// Data of commits that promotions dropped.
     pub(super) rolled_back: Vec<String>,
 }
 
 impl GroupState {
+    /// Returns the index of the member that was promoted last.
     pub(super) fn primary(&self) -> usize {
-        let leading = self.members.iter().enumerate().filter(|(_, one)| one.leads);
-        let newest = leading.max_by_key(|(_, one)| one.term);
-        newest.map_or(0, |(index, _)| index)
+        self.primary
     }
 
     /// Brings the replicas to the primary's log, unless replication is held.
     pub(super) fn replicate(&mut self) {
-        if self.hold {
+        let source = &self.members[self.primary];
+        if self.hold || !source.alive || !source.leads {
             return;
         }
-        let primary = self.primary();
-        let (log, term) = (
-            self.members[primary].log.clone(),
-            self.members[primary].term,
-        );
+        let (log, term) = (source.log.clone(), source.term);
         for (index, member) in self.members.iter_mut().enumerate() {
-            if index != primary && member.alive && !member.leads {
+            if index != self.primary && member.alive && !member.leads {
                 member.log.clone_from(&log);
                 member.term = term;
             }
@@ -161,7 +152,7 @@
     }
 
     pub(super) fn promote(&mut self, id: &str) {
-        let present = self.primary();
+        let present = self.primary;
         let Some(index) = self
             .members
             .iter()
@@ -179,12 +170,22 @@
         let term = self.members.iter().map(|one| one.term).max().unwrap_or(0) + 1;
         self.members[index].leads = true;
         self.members[index].term = term;
+        self.primary = index;
         self.replicate();
     }
 
+    /// Lets a member start again, with its log.
+    pub(super) fn restart(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        member.alive = true;
+        member.draining = false;
+        member.starts += 1;
+        member.leads &= index == self.primary;
+    }
+
     /// Lets primaries step down that a later one has superseded for a while.
     pub(super) fn demote_superseded(&mut self) {
-        let newest = self.primary();
+        let newest = self.primary;
         for (index, member) in self.members.iter_mut().enumerate() {
             if index == newest || !member.leads {
                 member.superseded_at = None;
