Take changed settings over at SIGHUP where a host can

Cause: a reload checked the file and left every change to the next start, so an operator had to restart a host for a longer grace or another limit.

Change: grace_s and descriptor_limit are in force at once; the keys of other changed settings are logged as waiting for the next start. A table of cases in state/entry.

--- a/crates/cassiad/src/entry.rs
+++ b/crates/cassiad/src/entry.rs
@@ -62,14 +62,14 @@
     );
     let store = settings.store.address;
     let platform = SitePlatform::new(store, settings.promotion_address, PLATFORM_TIMEOUT);
-    let mut host = EntryHost::<LineCodec>::start(settings.clone(), platform)
+    let mut host = EntryHost::<LineCodec>::start(settings, platform)
         .await
         .map_err(|error| error.to_string())?;
     let probed = tokio::spawn(platform::serve_readiness(probes, host.readiness()));
     loop {
         tokio::select! {
             () = host.wait() => return Ok(ExitCode::FAILURE),
-            _ = signals.reload.recv() => reload(&settings, path),
+            _ = signals.reload.recv() => reload(&host, path),
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
         }
@@ -79,12 +79,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Reads the settings file again. Settings are in force from the next start;
-/// a bad file is reported now and changes nothing.
-fn reload(settings: &EntrySettings, path: &Path) {
+/// Reads the settings file again. A bad file is reported and changes nothing.
+fn reload(host: &EntryHost<LineCodec>, path: &Path) {
     match settings_file::load(path, EntrySettings::parse) {
-        Ok(read) if read == *settings => log::info!("reload: settings unchanged"),
-        Ok(_) => log::warn!("reload: changed settings are in force from the next start"),
+        Ok(read) => {
+            let waiting = host.reload(&read).join(", ");
+            if waiting.is_empty() {
+                log::info!("reload: settings in force");
+            } else {
+                log::warn!(
+                    keys = waiting.as_str();
+                    "reload: some changed settings are in force from the next start"
+                );
+            }
+        }
         Err(problems) => {
             let reason = problems.join("; ");
             log::error!(reason = reason.as_str(); "reload: settings rejected; nothing changed");
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -79,6 +79,35 @@
         list.finish(())
     }
 
+    /// Takes over from `read` what can change while a host runs; returns the keys
+    /// whose other values wait for the next start.
+    pub fn reload(&mut self, read: &Self) -> Vec<&'static str> {
+        self.grace_s = read.grace_s;
+        self.descriptor_limit = read.descriptor_limit;
+        let same = [
+            ("host", self.host == read.host),
+            ("data_centre", self.data_centre == read.data_centre),
+            ("regions", self.regions == read.regions),
+            ("caller_address", self.caller_address == read.caller_address),
+            (
+                "readiness_address",
+                self.readiness_address == read.readiness_address,
+            ),
+            (
+                "metrics_address",
+                self.metrics_address == read.metrics_address,
+            ),
+            ("relay_address", self.relay_address == read.relay_address),
+            ("store", self.store == read.store),
+            (
+                "promotion_address",
+                self.promotion_address == read.promotion_address,
+            ),
+        ];
+        let waiting = same.iter().filter(|(_, is_same)| !is_same);
+        waiting.map(|(key, _)| *key).collect()
+    }
+
     /// Returns the region of a data centre; an unknown one is a region of its own.
     pub fn region_of<'a>(&'a self, data_centre: &'a str) -> &'a str {
         self.regions
--- a/crates/state/tests/entry.rs
+++ b/crates/state/tests/entry.rs
@@ -80,3 +80,47 @@
         expect_that!(report.join("\n"), contains_substring(case.named));
     }
 }
+
+/// Guards against a reload that changes addresses in use, or that ignores what
+/// can change at once.
+#[gtest]
+fn a_reload_takes_over_what_can_change() {
+    struct ReloadCase {
+        from: &'static str,
+        to: &'static str,
+        waiting: &'static [&'static str],
+    }
+    let cases = [
+        ReloadCase {
+            from: "grace_s = 6",
+            to: "grace_s = 9",
+            waiting: &[],
+        },
+        ReloadCase {
+            from: "descriptor_limit = 8400",
+            to: "descriptor_limit = 900",
+            waiting: &[],
+        },
+        ReloadCase {
+            from: "10.1.0.8:8784",
+            to: "10.1.0.8:9784",
+            waiting: &["caller_address"],
+        },
+        ReloadCase {
+            from: "10.200.1.7:8783",
+            to: "10.200.1.8:8783",
+            waiting: &["store"],
+        },
+    ];
+    for case in cases {
+        let mut settings = EntrySettings::parse(SETTINGS).unwrap();
+        let before = settings.clone();
+        let read = EntrySettings::parse(&SETTINGS.replace(case.from, case.to)).unwrap();
+        expect_that!(settings.reload(&read), eq(case.waiting), "{}", case.to);
+        let expected = match case.waiting {
+            [] => &read,
+            _ => &before,
+        };
+        expect_that!(&settings, eq(expected), "{}", case.to);
+    }
+}
--- a/crates/transport/src/managed/acceptor.rs
+++ b/crates/transport/src/managed/acceptor.rs
@@ -22,8 +22,6 @@
     context: Arc<HostContext<K, C>>,
     listener: TcpListener,
 ) {
-    let limit = context.settings.descriptor_limit;
-    let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(1);
     let sessions = context.sessions();
     loop {
         let stream = match listener.accept().await {
@@ -34,6 +32,8 @@
                 continue;
             }
         };
+        let limit = context.descriptor_limit();
+        let limit = limit.saturating_sub(RESERVED_DESCRIPTORS).max(1);
         if *sessions.borrow() as u64 >= limit {
             log::warn!(limit; "too many callers; the connection is closed");
             continue;
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -49,7 +49,10 @@
 /// Shared state of an entry host.
 #[derive(Debug)]
 pub(crate) struct HostContext<K: StatementCodec, C> {
+    /// Settings at the start.
     pub(crate) settings: EntrySettings,
+    /// Settings with what changed since.
+    current: Mutex<EntrySettings>,
     /// Data centres of the host's region.
     pub(crate) region: Vec<String>,
     pub(crate) clock: C,
@@ -82,6 +85,7 @@
         let budget = RetryBudget::new(RETRY_PERCENT, RETRY_FLOOR_PER_S, Instant::now());
         Arc::new(Self {
             region,
+            current: Mutex::new(settings.clone()),
             metrics: EntryMetrics::default(),
             phase: watch::Sender::new(ServicePhase::Serving),
             relay: Arc::new(RelayHub::new(&settings.host, clock.clone())),
@@ -96,6 +100,21 @@
         })
     }
 
+    /// Takes over changed settings; returns the keys that wait for a restart.
+    pub(crate) fn reload(&self, read: &EntrySettings) -> Vec<&'static str> {
+        lock(&self.current).reload(read)
+    }
+
+    /// Returns the time from the signal to stop until the process is killed.
+    pub(crate) fn grace(&self) -> Duration {
+        Duration::from_secs_f64(lock(&self.current).grace_s)
+    }
+
+    /// Returns the descriptors that the process may use.
+    pub(crate) fn descriptor_limit(&self) -> u64 {
+        lock(&self.current).descriptor_limit
+    }
+
     /// Returns the plan in force.
     pub(crate) fn plan(&self) -> Option<Arc<RoutePlan>> {
         lock(&self.plan).plan.clone()
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -90,6 +90,11 @@
         move || context.is_ready()
     }
 
+    /// Takes over changed settings; returns the keys that wait for a restart.
+    pub fn reload(&self, read: &EntrySettings) -> Vec<&'static str> {
+        self.context.reload(read)
+    }
+
     /// Waits until a task of the host ends, which none does by itself.
     pub async fn wait(&mut self) {
         if let Some(Err(error)) = self.tasks.join_next().await {
@@ -100,7 +105,7 @@
     /// Stops serving: sessions end when they are idle, open transactions get
     /// half of the grace, and all is over before the grace ends.
     pub async fn shut_down(mut self) {
-        let grace = Duration::from_secs_f64(self.context.settings.grace_s);
+        let grace = self.context.grace();
         let started = Instant::now();
         log::info!(sessions = *self.context.sessions().borrow(); "draining");
         self.context.phase.send_replace(ServicePhase::Draining);
