--- a/crates/coordination/tests/group_model.rs
+++ b/crates/coordination/tests/group_model.rs
@@ -11,6 +11,9 @@
 //! `CASSIA_SEED` sets the first seed and `CASSIA_RUNS` the number of runs.
 //! `CASSIA_TRACE=1` prints the faults of each run as they begin.
 
+#[path = "support/seeds.rs"]
+mod seeds;
+
 mod model {
     pub mod daemon;
     pub mod member;
@@ -253,6 +256,7 @@
 use googletest::prelude::*;
 use model::world::{RunFigures, World, RECOVERY_LIMIT};
 use model::{Decision, Fault, FaultKind, Violation};
+use seeds::env_number;
 
 /// Seeds of the run in continuous integration.
 const FIRST_SEED: u64 = 1;
@@ -263,12 +267,6 @@
 const GAP_RUNS: u64 = 8;
 const THREADS: usize = 4;
 
-fn env_number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .map_or(default, |text| text.parse().expect("a number"))
-}
-
 struct RunReport {
     seed: u64,
     figures: RunFigures,
--- a/crates/coordination/tests/managed_model.rs
+++ b/crates/coordination/tests/managed_model.rs
@@ -11,6 +11,9 @@
 //! run exactly. `CASSIA_SEED` sets the first seed, `CASSIA_RUNS` the number of
 //! runs, and `CASSIA_TRACE=1` prints the faults.
 
+#[path = "support/seeds.rs"]
+mod seeds;
+
 mod managed_model {
     pub mod entry_host;
     pub mod site;
@@ -153,6 +156,7 @@
 use googletest::prelude::*;
 use managed_model::world::{RunFigures, World};
 use managed_model::{Decision, Fault, Violation};
+use seeds::env_number;
 
 /// Seeds of the run in continuous integration.
 const FIRST_SEED: u64 = 1;
@@ -161,12 +165,6 @@
 const WRONG_RUNS: u64 = 60;
 const THREADS: u64 = 4;
 
-fn env_number(name: &str, default: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .map_or(default, |text| text.parse().expect("a number"))
-}
-
 struct RunReport {
     seed: u64,
     figures: RunFigures,
--- a/crates/coordination/tests/managed_model/world.rs
+++ b/crates/coordination/tests/managed_model/world.rs
@@ -488,41 +488,30 @@
         }
     }
 
+    /// Lets a call take effect later than it arrived.
+    fn wait_at_store(&mut self, delay: Duration, host: usize, call: u64, request: Request) {
+        let event = Event::Arrive {
+            host,
+            to: Endpoint::Store,
+            call,
+            request,
+            sent_at: self.now,
+        };
+        self.after(delay, event);
+    }
+
     fn arrive_at_store(&mut self, host: usize, call: u64, request: Request) {
         if self.has(|effect| effect.store_down) {
             return self.reply(host, Endpoint::Store, call, Answer::Unavailable);
         }
         if self.has(|effect| effect.store_slow) && self.random.random_bool(0.9) {
-            // The call waits at the store and is seen there later.
             let delay = self.millis(50, 300);
-            let sent_at = self.now;
-            let to = Endpoint::Store;
-            return self.after(
-                delay,
-                Event::Arrive {
-                    host,
-                    to,
-                    call,
-                    request,
-                    sent_at,
-                },
-            );
+            return self.wait_at_store(delay, host, call, request);
         }
         let is_write = matches!(request, Request::WriteRow { .. });
         if is_write && self.has(|effect| effect.store_late) && self.random.random_bool(0.5) {
             let delay = self.millis(1_000, 6_000);
-            let sent_at = self.now;
-            let to = Endpoint::Store;
-            return self.after(
-                delay,
-                Event::Arrive {
-                    host,
-                    to,
-                    call,
-                    request,
-                    sent_at,
-                },
-            );
+            return self.wait_at_store(delay, host, call, request);
         }
         let answer = match request {
             Request::ReadRows => self.site.read_rows(self.now),
