Read the diff anew: names, comments and errors of the soak

The soak's reload changes a setting; a peak of memory that cannot be read fails the run in place of counting as zero; phases of a change say what they wait for.

--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -168,21 +168,28 @@
     announced_at: Instant,
 }
 
+/// The step whose outcome is awaited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StepPhase {
     Start,
     ReadingDuty,
     TakingDuty,
     Announcing,
+    /// Hosts get time to see the announcement of an orderly change.
     Noticing,
     SteppingDown,
     Surveying,
+    /// No replica holds the whole log yet.
     CatchingUp,
+    /// The assurances of a primary that did not step down have to end.
     AwaitingFence(MemberKey),
     Ordering(MemberKey),
+    /// An order had no answer and is about to be sent again.
     AwaitingRepeat(MemberKey),
     AskingSuccessor(MemberKey),
+    /// The successor does not lead yet.
     AwaitingSuccessor(MemberKey),
+    /// The successor leads; all assurances have to end before its row.
     AwaitingEnd(MemberKey, Term),
     Settling,
 }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -93,11 +93,13 @@
     }
 
     /// Returns the peak of the resident memory in KiB.
-    pub(crate) fn peak_memory_kib(&self) -> Option<u64> {
+    pub(crate) fn peak_memory_kib(&self) -> Result<u64> {
         let path = PathBuf::from(format!("/proc/{}/status", self.child.id()));
-        let text = std::fs::read_to_string(path).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmHWM:"))?;
-        line.split_whitespace().nth(1)?.parse().ok()
+        let text = std::fs::read_to_string(path)?;
+        let line = text.lines().find(|line| line.starts_with("VmHWM:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        let peak = value.and_then(|value| value.parse().ok());
+        peak.ok_or_else(|| io::Error::other("the status of the process has no VmHWM"))
     }
 }
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -35,7 +35,8 @@
 /// One host: its process and the paths to and from it.
 #[derive(Debug)]
 struct SoakHost {
-    settings: PathBuf,
+    settings: EntrySettings,
+    settings_file: PathBuf,
     log: PathBuf,
     process: Option<DaemonProcess>,
     callers: TcpRelay,
@@ -82,11 +83,11 @@
         let store = TcpRelay::start(self.platform.add_view(&endpoints).await?).await?;
         let settings = settings(self.number, index, store.address());
         let callers = TcpRelay::start(settings.caller_address).await?;
-        let file = folder.join(format!("host-{index}.toml"));
-        let text = toml::to_string(&settings).map_err(io::Error::other)?;
-        std::fs::write(&file, text)?;
+        let settings_file = folder.join(format!("host-{index}.toml"));
+        write_settings(&settings_file, &settings)?;
         Ok(SoakHost {
-            settings: file,
+            settings,
+            settings_file,
             log: folder.join(format!("host-{index}.log")),
             process: None,
             callers,
@@ -97,7 +98,7 @@
 
     fn start_daemon(&mut self, index: usize) -> Result<()> {
         let host = &mut self.hosts[index];
-        let process = DaemonProcess::start(&self.program, &host.settings, &host.log)?;
+        let process = DaemonProcess::start(&self.program, &host.settings_file, &host.log)?;
         host.process = Some(process);
         Ok(())
     }
@@ -119,10 +120,13 @@
     }
 
     /// Returns the peak memory of the processes in KiB.
-    pub(crate) fn peak_memory_kib(&self) -> u64 {
+    pub(crate) fn peak_memory_kib(&self) -> Result<u64> {
         let processes = self.hosts.iter().filter_map(|host| host.process.as_ref());
-        let peaks = processes.filter_map(DaemonProcess::peak_memory_kib);
-        peaks.max().unwrap_or(0)
+        let mut highest = 0;
+        for process in processes {
+            highest = highest.max(process.peak_memory_kib()?);
+        }
+        Ok(highest)
     }
 
     /// Returns the log of the last primary and what promotions rolled back.
@@ -150,7 +154,7 @@
         Ok(())
     }
 
-    fn each(&self, host: usize, act: impl Fn(&SoakHost)) {
+    fn on_host(&self, host: usize, act: impl Fn(&SoakHost)) {
         act(&self.hosts[host]);
     }
 
@@ -163,28 +167,28 @@
         let primary = self.platform.primary();
         match kind {
             FaultKind::CutMember { host, member } => {
-                self.each(host, |one| one.members[member].set_cut(true));
+                self.on_host(host, |one| one.members[member].set_cut(true));
             }
             FaultKind::StallMember { host, member } => {
-                self.each(host, |one| one.members[member].set_stalled(true));
+                self.on_host(host, |one| one.members[member].set_stalled(true));
             }
             FaultKind::SilenceMember { host, member } => {
-                self.each(host, |one| one.members[member].silence());
+                self.on_host(host, |one| one.members[member].silence());
             }
-            FaultKind::DelayMember { host, member } => self.each(host, |one| {
+            FaultKind::DelayMember { host, member } => self.on_host(host, |one| {
                 one.members[member].set_delay(Duration::ZERO, SLOW_PATH);
             }),
             FaultKind::SplitPrimary { host } => {
                 for (index, one) in self.hosts.iter().enumerate() {
                     one.members[primary].set_stalled(index != host);
                 }
-                self.each(host, |one| one.store.set_stalled(true));
+                self.on_host(host, |one| one.store.set_stalled(true));
                 return Ok(Some(primary));
             }
-            FaultKind::CutStore { host } => self.each(host, |one| one.store.set_cut(true)),
-            FaultKind::StallStore { host } => self.each(host, |one| one.store.set_stalled(true)),
+            FaultKind::CutStore { host } => self.on_host(host, |one| one.store.set_cut(true)),
+            FaultKind::StallStore { host } => self.on_host(host, |one| one.store.set_stalled(true)),
             FaultKind::StoreDown => self.platform.set_store_down(true),
-            FaultKind::CutCallers { host } => self.each(host, |one| one.callers.set_cut(true)),
+            FaultKind::CutCallers { host } => self.on_host(host, |one| one.callers.set_cut(true)),
             FaultKind::HoldReplication => self.platform.hold_replication(true),
             FaultKind::KillMember { member } => return Ok(self.kill_member(member)),
             FaultKind::KillPrimary => return Ok(self.kill_member(primary)),
@@ -239,16 +243,23 @@
                     }
                 }
             }
-            FaultKind::Reload { host } => {
-                if let Some(process) = self.process(host) {
-                    process.reload()?;
-                }
-            }
+            FaultKind::Reload { host } => self.reload(host)?,
             _ => {}
         }
         Ok(())
     }
 
+    /// Changes the settings of a host and tells its process.
+    fn reload(&mut self, host: usize) -> Result<()> {
+        let host = &mut self.hosts[host];
+        host.settings.descriptor_limit += 1;
+        write_settings(&host.settings_file, &host.settings)?;
+        match &host.process {
+            Some(process) => process.reload(),
+            None => Ok(()),
+        }
+    }
+
     fn kill_host(&mut self, host: usize) -> Result<()> {
         match self.hosts[host].process.take() {
             Some(mut process) => process.kill(),
@@ -260,12 +271,12 @@
     pub(crate) fn end(&mut self, kind: FaultKind, member: Option<usize>) -> Result<()> {
         match kind {
             FaultKind::CutMember { host, member } => {
-                self.each(host, |one| one.members[member].set_cut(false));
+                self.on_host(host, |one| one.members[member].set_cut(false));
             }
             FaultKind::StallMember { host, member } => {
-                self.each(host, |one| one.members[member].set_stalled(false));
+                self.on_host(host, |one| one.members[member].set_stalled(false));
             }
-            FaultKind::DelayMember { host, member } => self.each(host, |one| {
+            FaultKind::DelayMember { host, member } => self.on_host(host, |one| {
                 one.members[member].set_delay(Duration::ZERO, Duration::ZERO);
             }),
             FaultKind::SplitPrimary { host } => {
@@ -274,12 +285,14 @@
                         one.members[member].set_stalled(false);
                     }
                 }
-                self.each(host, |one| one.store.set_stalled(false));
+                self.on_host(host, |one| one.store.set_stalled(false));
+            }
+            FaultKind::CutStore { host } => self.on_host(host, |one| one.store.set_cut(false)),
+            FaultKind::StallStore { host } => {
+                self.on_host(host, |one| one.store.set_stalled(false))
             }
-            FaultKind::CutStore { host } => self.each(host, |one| one.store.set_cut(false)),
-            FaultKind::StallStore { host } => self.each(host, |one| one.store.set_stalled(false)),
             FaultKind::StoreDown => self.platform.set_store_down(false),
-            FaultKind::CutCallers { host } => self.each(host, |one| one.callers.set_cut(false)),
+            FaultKind::CutCallers { host } => self.on_host(host, |one| one.callers.set_cut(false)),
             FaultKind::HoldReplication => self.platform.hold_replication(false),
             FaultKind::DrainPrimary => {
                 // The member leaves and another one starts at its address.
@@ -323,6 +336,11 @@
     }
 }
 
+fn write_settings(file: &Path, settings: &EntrySettings) -> Result<()> {
+    let text = toml::to_string(settings).map_err(io::Error::other)?;
+    std::fs::write(file, text)
+}
+
 /// Returns the settings of a host. Each host has a loopback address of its own,
 /// so that no connection takes its ports while it is down.
 fn settings(site: u8, index: usize, store: SocketAddr) -> EntrySettings {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -91,8 +91,8 @@
     await_service(&pool, &mut report).await;
     stop.send_replace(true);
     while callers.join_next().await.is_some() {}
-    report.peak_memory_kib = site.peak_memory_kib();
     site.watch_processes()?;
+    report.peak_memory_kib = site.peak_memory_kib()?;
     site.stop().await?;
     judge(&site, &pool, &mut report)?;
     if report.findings.is_empty() {
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -253,6 +253,7 @@
     (status.role == MemberRole::Replica).then_some(status.received)
 }
 
+/// Asks all members but one; returns those that answered.
 async fn ask_members<K: StatementCodec, C: MonotonicClock>(
     group: &GroupRuntime<K, C>,
     former: Option<MemberKey>,
