Keep hosts that compete for a failover from trying again together

Cause of a_failover_loses_no_acknowledged_write in KNOWN-RED.txt, from a traced run (8 copies of the test beside each other, 64 failovers, one of 2.67 s, platform down): without the lease, two hosts fence the members at the same moment and each gets one of the two promises. Both waited 300 ms for the dead primary's answer, and then every host waited for the same time (suspect_after) since the new term was seen, so that all tried again at the same moment: attempts at 0.85, 1.45, 2.05 and 2.65 s after the kill.

Change: the wait for another proposer's term ends at a random instant within 200 ms; a member that refuses connections no longer counts as one that may still grant; a term that no rival can have been granted by a majority is not waited for.

--- a/crates/coordination/src/failover.rs
+++ b/crates/coordination/src/failover.rs
@@ -32,8 +32,9 @@
 /// Timeout of a lease request to the table service. It fits into the 200 ms
 /// that the failover budget allows for the lease or the jitter.
 pub const LEASE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Upper limit of the random wait that replaces the lease when the table
-/// service gives no usable answer.
+/// Upper limit of the random waits that keep daemons apart: the one that replaces
+/// the lease when the table service gives no usable answer, and the one before a
+/// term of another proposer is superseded.
 const MAX_JITTER: Duration = Duration::from_millis(200);
 /// Backoff after the first failed attempt; it doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -91,8 +92,8 @@
     health: GroupHealth,
     state: MachineState,
     attempted_term: Term,
-    /// Highest attempted term that a member refused to grant or had already
-    /// superseded. Another proposer may then be about to promote a member.
+    /// Highest attempted term that another proposer may have been granted by a
+    /// majority. It may then be about to promote a member.
     contested_term: Term,
     /// Highest term at which this machine ordered a promotion.
     promoted_term: Term,
@@ -104,6 +105,10 @@
     suspected_at: Option<Instant>,
     /// Instant at which the highest term was first reported.
     term_seen_at: Instant,
+    /// Time from `term_seen_at` for which the proposer of that term is not
+    /// interfered with. It differs between daemons, because they see a term at
+    /// the same time and would otherwise compete for the next one.
+    rival_wait: Duration,
     leaving_retry_at: Option<Instant>,
     followed_at: SecondaryMap<MemberKey, Instant>,
     actions: Vec<FailoverAction>,
@@ -131,6 +136,7 @@
             authority_until: None,
             suspected_at: None,
             term_seen_at: now,
+            rival_wait: times.suspect_after,
             leaving_retry_at: None,
             followed_at: SecondaryMap::new(),
             actions: Vec::new(),
@@ -170,6 +176,7 @@
         self.apply_event(event, now, jitter);
         if self.health.highest_term() > highest {
             self.term_seen_at = now;
+            self.rival_wait = self.times.suspect_after + jitter.of(MAX_JITTER);
         }
         self.abandon_if_superseded(now, jitter);
         self.step(now, jitter);
@@ -237,7 +244,6 @@
             }
             StepAnswer::Accepted(_) | StepAnswer::StaleTerm(_) | StepAnswer::WrongProposer => {
                 round.refuse(member);
-                self.contested_term = term;
             }
             StepAnswer::NoAnswer => {}
         }
@@ -371,7 +377,7 @@
                 if highest == self.attempted_term && highest > self.contested_term {
                     return None;
                 }
-                self.term_seen_at + suspect_after
+                self.term_seen_at + self.rival_wait
             }
             SuspicionReason::Unreachable(primary) => match self.health.reachability(primary, now) {
                 PrimaryReachability::CannotServe => return None,
@@ -457,7 +463,11 @@
             let term = round.term;
             return self.start_promotion(term, member, now);
         }
-        if expired || round.cannot_succeed() {
+        let is_down = |key: MemberKey| health.is_down(key);
+        if expired || round.cannot_succeed(health.keys(), is_down) {
+            if round.rival_may_win(health.keys(), is_down) {
+                self.contested_term = round.term;
+            }
             return self.back_off(now, jitter);
         }
         if resend_at.is_some_and(|at| now >= at) {
--- a/crates/coordination/src/failover/fence.rs
+++ b/crates/coordination/src/failover/fence.rs
@@ -37,9 +37,29 @@
         self.grants.contains_key(member)
     }
 
-    /// Returns whether so many members refused that no majority can grant.
-    pub(super) fn cannot_succeed(&self) -> bool {
-        self.members - self.refused.len().min(self.members) < majority(self.members)
+    /// Returns whether no majority can grant any more. A member for which `is_down`
+    /// holds gives no grant.
+    pub(super) fn cannot_succeed(
+        &self,
+        members: impl Iterator<Item = MemberKey>,
+        is_down: impl Fn(MemberKey) -> bool,
+    ) -> bool {
+        let may_grant = |member: &MemberKey| {
+            let refused = self.refused.contains_key(*member);
+            self.has_granted(*member) || (!refused && !is_down(*member))
+        };
+        members.filter(may_grant).count() < majority(self.members)
+    }
+
+    /// Returns whether another proposer may have been granted this term by a
+    /// majority. A member grants a term to one proposer only.
+    pub(super) fn rival_may_win(
+        &self,
+        members: impl Iterator<Item = MemberKey>,
+        is_down: impl Fn(MemberKey) -> bool,
+    ) -> bool {
+        let may_be_rivals = |member: &MemberKey| !self.has_granted(*member) && !is_down(*member);
+        !self.refused.is_empty() && members.filter(may_be_rivals).count() >= majority(self.members)
     }
 
     /// Selects the member to promote, or returns `None` while no member may be
--- a/crates/coordination/src/failover/health.rs
+++ b/crates/coordination/src/failover/health.rs
@@ -138,6 +138,13 @@
         self.members.get(key).is_some_and(|member| member.leaving)
     }
 
+    /// Returns whether the member's host refuses connections.
+    pub(super) fn is_down(&self, key: MemberKey) -> bool {
+        self.members
+            .get(key)
+            .is_some_and(|member| member.connection_refused)
+    }
+
     /// Returns the primary of the highest term and the instant at which its
     /// newest answered call was sent.
     pub(super) fn primary(&self) -> Option<(MemberKey, Instant)> {
