Let one host of a region read the store, and renew presence by data centre

Each host wrote a row of its own and read all such rows every 10 s, each data centre had a reader, and a host that lost its reader read everything itself, as did all others at the same time.

Change: a row per data centre names its live hosts; only hosts that read the store renew it, the others report to their reader. Hosts rank each other by the time at which they joined and form a tree with a fan-out of 32; the first host of a data centre fetches from the first of its region. A reader that answers without new readings is passed over for the next one, and while no reader has any, three hosts of a data centre try the store instead of all. Unchanged rows are not sent again. The bounds of the store's clock expire, so that clocks that drift apart cannot stretch an assurance, and hosts that never call the store get bounds from their reader. A call that is slow no longer stretches the interval of the rows. The rule that a host that is asked reads the store is replaced: hosts pass on what they fetched, and its test by those of the ranking and of late readers.

Tests of coordination, protocol, state, platform and soak pass.

The counter cassia_entry_store_calls_total names the reason of each call.

--- a/crates/coordination/src/managed.rs
+++ b/crates/coordination/src/managed.rs
@@ -3,14 +3,15 @@
 //!
 //! The state that entry hosts must agree on is kept in rows of the platform's
 //! store: one row per group that names its primary, and one row for the lease
-//! that allows a host to change primaries. Hosts only pass readings of the store
-//! to each other. All instants in these modules come from a clock that also
+//! that allows a host to change primaries. Hosts pass readings of the store to each
+//! other; a row per data centre names the live hosts. All instants in these modules come from a clock that also
 //! counts the time during which the host is suspended.
 
 pub mod change;
 pub mod change_steps;
 pub mod dispatch;
 pub mod group;
+pub mod presence;
 pub mod primary_view;
 pub mod promotion_lease;
 pub mod reader;
--- a/crates/coordination/src/managed/reader.rs
+++ b/crates/coordination/src/managed/reader.rs
@@ -1,77 +1,182 @@
-//! Chooses the entry host of a data centre that reads the store for the others.
+//! Chooses the entry host from which a host fetches readings of the store.
 //!
-//! The live host with the lowest name reads the store, and the other hosts ask
-//! it for its readings. Hosts may disagree on which hosts are live. Therefore a
-//! host that is asked reads the store itself; a second reader only costs
-//! additional calls.
+//! Every host ranks the live hosts in the same way: those that joined first come
+//! first. In a data centre the hosts form a tree below the first one, in which each
+//! host passes readings on to at most [`FAN_OUT`] others. The first host of a data
+//! centre fetches readings from the first host of its region, which reads the
+//! store. A host only ever fetches from one that ranks before it, so that hosts
+//! with the same list of live hosts cannot wait for each other; hosts with
+//! different lists may, and then read the store themselves.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// Time for which a reader that did not answer is not asked again.
+use state::reading::LiveHost;
+
+/// Time for which a reader that did not answer is not asked again. It is doubled
+/// with each further failure, up to [`FAILED_PAUSE_MAX`].
 const FAILED_PAUSE: Duration = Duration::from_secs(3);
-/// Time for which a host goes on reading the store after another host asked it.
-const READ_AFTER_REQUEST: Duration = Duration::from_secs(2);
-
-/// A live entry host of the same data centre.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReaderHost<A> {
-    /// Name, unique among the entry hosts.
-    pub name: String,
-    /// Address at which the host answers questions for readings.
-    pub address: A,
+/// Longest such pause, as long as a dead host stays in the list of live hosts.
+const FAILED_PAUSE_MAX: Duration = Duration::from_secs(24);
+/// Largest number of hosts that fetch readings from one host, unless others fail.
+/// Answering that many takes the host less than 1% of a core.
+pub const FAN_OUT: usize = 32;
+/// Number of hosts at the front of the ranking that a host tries when the hosts
+/// above it in the tree fail.
+const DEPUTIES: usize = 4;
+/// Time that a newly chosen reader has for its first answer. The store is not read
+/// meanwhile.
+const JOIN_WAIT: Duration = Duration::from_millis(400);
+/// Expected number of hosts of a data centre that read the store while their
+/// reader answers without readings, which it does when it cannot reach the store.
+const FALLBACK_READERS: f64 = 3.0;
+
+/// Where a host gets a reading from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingSource {
+    /// The host reads the store.
+    Store,
+    /// The reader passes the reading on.
+    Reader,
+    /// The reader is late. Another host of the data centre reads the store.
+    Skip,
 }
 
-/// One host's choice of the reader.
+/// Failures of a reader since its last new reading.
+#[derive(Clone, Copy, Debug)]
+struct ReaderFailure {
+    count: u32,
+    retry_at: Instant,
+}
+
+/// One host's choice of its reader.
 #[derive(Clone, Debug)]
-pub struct ReaderChoice<A> {
+pub struct ReaderChoice {
     own_name: String,
-    /// The other live hosts, in order of their names.
-    others: Vec<ReaderHost<A>>,
-    failed: Option<(String, Instant)>,
-    asked_at: Option<Instant>,
+    /// The hosts to ask, in this order.
+    candidates: Vec<LiveHost>,
+    /// Number of live hosts in the data centre, this one included.
+    local_hosts: usize,
+    /// Readers that did not answer.
+    failed: HashMap<String, ReaderFailure>,
+    /// The reader that was chosen last and since when.
+    chosen: Option<(String, Instant)>,
 }
 
-impl<A: Clone> ReaderChoice<A> {
+impl ReaderChoice {
     /// Creates the choice of a host that knows no other host yet.
     pub fn new(own_name: &str) -> Self {
         Self {
             own_name: own_name.to_owned(),
-            others: Vec::new(),
-            failed: None,
-            asked_at: None,
+            candidates: Vec::new(),
+            local_hosts: 1,
+            failed: HashMap::new(),
+            chosen: None,
         }
     }
 
-    /// Replaces the list of live hosts of the data centre. This host may be among
-    /// them and is left out.
-    pub fn set_hosts(&mut self, mut hosts: Vec<ReaderHost<A>>) {
-        hosts.retain(|host| host.name != self.own_name);
-        hosts.sort_by(|left, right| left.name.cmp(&right.name));
-        self.others = hosts;
+    /// Replaces the live hosts. `data_centre` is that of this host, and `region`
+    /// holds the data centres of its region.
+    pub fn set_hosts(&mut self, live: &[LiveHost], data_centre: &str, region: &[String]) {
+        let mut local: Vec<&LiveHost> = live
+            .iter()
+            .filter(|host| host.data_centre == data_centre)
+            .collect();
+        local.sort_by_key(|host| host.seniority());
+        let own = local.iter().position(|host| host.name == self.own_name);
+        self.local_hosts = local.len() + usize::from(own.is_none());
+        // A host that is not listed yet joins at the end.
+        let rank = own.unwrap_or(local.len());
+        let mut order = ancestors(rank);
+        order.extend((0..rank.min(DEPUTIES)).filter(|deputy| !ancestors(rank).contains(deputy)));
+        let mut candidates: Vec<LiveHost> =
+            order.iter().map(|index| local[*index].clone()).collect();
+        let own_host = own.map(|index| local[index]);
+        candidates.extend(region_heads(live, data_centre, region, own_host));
+        self.failed
+            .retain(|name, _| candidates.iter().any(|host| host.name == *name));
+        self.candidates = candidates;
     }
 
-    /// Records that another host asked this one for readings.
-    pub fn record_asked(&mut self, now: Instant) {
-        self.asked_at = Some(now);
+    /// Records that a reader did not answer or had no new reading in time.
+    pub fn record_failure(&mut self, name: &str, now: Instant) {
+        let count = self.failed.get(name).map_or(1, |failure| failure.count + 1);
+        let doubled = FAILED_PAUSE.saturating_mul(1 << (count - 1).min(8));
+        let retry_at = now + doubled.min(FAILED_PAUSE_MAX);
+        self.failed
+            .insert(name.to_owned(), ReaderFailure { count, retry_at });
     }
 
-    /// Records that a reader did not answer.
-    pub fn record_failure(&mut self, name: &str, now: Instant) {
-        self.failed = Some((name.to_owned(), now));
+    /// Records that a reader passed a new reading on.
+    pub fn record_success(&mut self, name: &str) {
+        self.failed.remove(name);
     }
 
     /// Returns the host to ask, or `None` if this host has to read the store.
-    pub fn reader(&self, now: Instant) -> Option<&ReaderHost<A>> {
-        let is_asked = self
-            .asked_at
-            .is_some_and(|at| now.saturating_duration_since(at) < READ_AFTER_REQUEST);
-        if is_asked {
-            return None;
+    pub fn reader(&self, now: Instant) -> Option<&LiveHost> {
+        self.candidates.iter().find(|host| {
+            let failure = self.failed.get(&host.name);
+            failure.is_none_or(|failure| now >= failure.retry_at)
+        })
+    }
+
+    /// Records that this host begins to ask a reader.
+    pub fn record_chosen(&mut self, name: &str, now: Instant) {
+        if self.chosen.as_ref().is_none_or(|(known, _)| known != name) {
+            self.chosen = Some((name.to_owned(), now));
         }
-        let first = self.others.first()?;
-        let failed = self.failed.as_ref().is_some_and(|(name, at)| {
-            *name == first.name && now.saturating_duration_since(*at) < FAILED_PAUSE
+    }
+
+    /// Returns since when this host asks a reader, if it was the last one chosen.
+    pub fn chosen_at(&self, name: &str) -> Option<Instant> {
+        let (known, at) = self.chosen.as_ref()?;
+        (known == name).then_some(*at)
+    }
+
+    /// Returns where a reading comes from. `is_recent` tells whether a recent one
+    /// came from the reader, and `chance` is a random fraction below 1.
+    pub fn source(&self, is_recent: bool, chance: f64, now: Instant) -> ReadingSource {
+        let Some(reader) = self.reader(now) else {
+            return ReadingSource::Store;
+        };
+        let is_joining = self.chosen.as_ref().is_none_or(|(name, at)| {
+            *name != reader.name || now.saturating_duration_since(*at) < JOIN_WAIT
         });
-        (first.name < self.own_name && !failed).then_some(first)
+        if is_recent || is_joining {
+            return ReadingSource::Reader;
+        }
+        if chance * (self.local_hosts as f64) < FALLBACK_READERS {
+            return ReadingSource::Store;
+        }
+        ReadingSource::Skip
     }
 }
+
+/// Returns the ranks above `rank` in the tree, the nearest first.
+fn ancestors(rank: usize) -> Vec<usize> {
+    let parent = |rank: &usize| rank.checked_sub(1).map(|index| index / FAN_OUT);
+    std::iter::successors(parent(&rank), parent).collect()
+}
+
+/// Returns the first hosts of the region's other data centres that rank before
+/// `own`, in order of their rank.
+fn region_heads(
+    live: &[LiveHost],
+    data_centre: &str,
+    region: &[String],
+    own: Option<&LiveHost>,
+) -> Vec<LiveHost> {
+    let mut heads: Vec<LiveHost> = region
+        .iter()
+        .filter(|other| *other != data_centre)
+        .filter_map(|other| {
+            live.iter()
+                .filter(|host| host.data_centre == *other)
+                .min_by_key(|host| host.seniority())
+        })
+        .filter(|head| own.is_none_or(|own| head.seniority() < own.seniority()))
+        .cloned()
+        .collect();
+    heads.sort_by(|left, right| left.seniority().cmp(&right.seniority()));
+    heads
+}
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -1,23 +1,52 @@
-//! The `tarpc` service with which the entry hosts of a data centre share the
-//! results of reading the platform's store: one host reads the store and relays
-//! its readings to the others.
+//! The `tarpc` service with which the entry hosts share the results of reading the
+//! platform's store: one host reads the store and relays its readings to the
+//! others, which relay them in turn.
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use state::reading::{PlanReading, ServerListReading, TableReading};
+use state::reading::{HostReport, LiveHost, PlanReading, ServerListReading, TableReading};
 
-/// Identifies the newest readings that a host received from the reading host.
+/// Identifies the newest readings that a host received from its reader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct KnownReadings {
-    /// Random number of the reading host's process. The other numbers are valid
-    /// only for this process.
+    /// Random number of the reader's process. The other numbers are valid only for
+    /// this process.
     pub incarnation: u64,
     /// Number of the newest reading of the rows of the groups.
-    pub reigns: u64,
+    pub group_rows: u64,
     /// Number of the newest reading of the list of backend servers.
-    pub listing: u64,
+    pub server_list: u64,
     /// Number of the newest reading of the route plan.
     pub plan: u64,
+    /// Number of the newest list of live hosts.
+    pub hosts: u64,
+}
+
+/// A host's request for readings.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct ReadingsRequest {
+    /// The readings that the host has.
+    pub known: KnownReadings,
+    /// Reports of the host and of those that fetch readings from it.
+    pub reports: Vec<HostReport>,
+}
+
+/// A relayed reading of a table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RelayedTable {
+    /// The whole reading.
+    Whole(TableReading),
+    /// The rows are those that the receiver has.
+    SameRows {
+        /// Newest revision of the store at the time of the read.
+        revision: u64,
+        /// The store's monotonic clock at the time of the read.
+        store_time: Duration,
+    },
 }
 
 /// Readings that are newer than those the receiver has. A reading that is not
@@ -27,18 +56,23 @@
 pub struct RelayedReadings {
     /// Identifies the readings that the receiver has after this answer.
     pub known: KnownReadings,
+    /// A time that the store's clock had not passed when the request arrived;
+    /// `None` if the sender does not know one.
+    pub store_time: Option<Duration>,
     /// Rows of the groups.
-    pub reigns: Option<TableReading>,
+    pub group_rows: Option<RelayedTable>,
     /// List of backend servers.
-    pub listing: Option<ServerListReading>,
-    /// Reading of the route plan, with the newest plan that the reading host
-    /// knows.
+    pub server_list: Option<ServerListReading>,
+    /// Reading of the route plan, with the newest plan that the sender knows.
     pub plan: Option<PlanReading>,
+    /// Live entry hosts of all data centres.
+    pub hosts: Option<Vec<LiveHost>>,
 }
 
-/// Calls from an entry host to the reading host.
+/// Calls from an entry host to its reader.
 #[tarpc::service]
 pub trait RelayService {
-    /// Waits for up to one second for readings that are newer than `known`.
-    async fn next_readings(known: KnownReadings) -> RelayedReadings;
+    /// Waits for up to one second for readings that are newer than those of the
+    /// request.
+    async fn next_readings(request: ReadingsRequest) -> RelayedReadings;
 }
--- a/crates/state/src/reading.rs
+++ b/crates/state/src/reading.rs
@@ -3,6 +3,7 @@
 //! Times are those of the store's monotonic clock, which all hosts that read
 //! the store have in common.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -67,3 +68,38 @@
     /// The store's monotonic clock at the time of the read.
     pub store_time: Duration,
 }
+
+/// A live entry host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct LiveHost {
+    /// Name, unique among the entry hosts.
+    pub name: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Address at which the host passes readings on.
+    pub relay_address: SocketAddr,
+    /// Time on the store's clock, in milliseconds, at which the host joined.
+    pub joined_ms: u64,
+}
+
+impl LiveHost {
+    /// Returns the key by which hosts are ranked: those that joined first come first.
+    pub fn seniority(&self) -> (u64, &str) {
+        (self.joined_ms, &self.name)
+    }
+}
+
+/// A host's report that it is live.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct HostReport {
+    /// Name of the host.
+    pub host: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Random number of the host's process.
+    pub incarnation: u64,
+    /// Address at which the host passes readings on.
+    pub relay_address: SocketAddr,
+}
--- a/crates/transport/src/managed.rs
+++ b/crates/transport/src/managed.rs
@@ -16,6 +16,7 @@
 mod member_connection;
 mod metrics;
 mod plan_follower;
+mod presence_follower;
 mod relay;
 pub mod runtime;
 mod session;
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -1,6 +1,7 @@
 //! State that the sessions and tasks of an entry host share.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use state::entry::EntrySettings;
 use state::keys::CustomerKey;
 use state::plan::RoutePlan;
+use state::reading::LiveHost;
 use tokio::sync::watch;
 
 use super::codec::StatementCodec;
@@ -62,6 +64,8 @@
     pub(super) relay: Arc<RelayHub<C>>,
     plan: Mutex<PlanInForce>,
     groups: Mutex<HashMap<String, Arc<GroupRuntime<K, C>>>>,
+    /// Number of live entry hosts.
+    host_count: AtomicU32,
     accounts: Mutex<AccountTable>,
     retries: Mutex<RetryPolicy>,
     server_list_history: Mutex<ServerListHistory>,
@@ -77,7 +81,7 @@
 impl<K: StatementCodec, C: MonotonicClock> HostContext<K, C> {
     pub(crate) fn new(settings: EntrySettings, clock: C) -> Arc<Self> {
         let own = settings.region_of(&settings.data_centre);
-        let region = settings
+        let region: Vec<String> = settings
             .regions
             .iter()
             .filter(|(_, region)| *region == own)
@@ -85,17 +89,18 @@
             .collect();
         let budget = RetryBudget::new(RETRY_PERCENT, RETRY_FLOOR_PER_S, Instant::now());
         Arc::new(Self {
-            region,
             current: Mutex::new(settings.clone()),
             metrics: EntryMetrics::default(),
             phase: watch::Sender::new(ServicePhase::Serving),
-            relay: Arc::new(RelayHub::new(&settings.host, clock.clone())),
+            relay: Arc::new(RelayHub::new(&settings, &region, clock.clone())),
             plan: Mutex::default(),
             groups: Mutex::default(),
             accounts: Mutex::default(),
             retries: Mutex::new(RetryPolicy::new(budget)),
             server_list_history: Mutex::default(),
             sessions: watch::Sender::new(0),
+            host_count: AtomicU32::new(1),
+            region,
             settings,
             clock,
         })
@@ -156,6 +161,21 @@
         }
     }
 
+    /// Applies the live entry hosts, which share the members' connections.
+    pub(super) fn apply_hosts(&self, live: &[LiveHost]) {
+        if !self.relay.set_hosts(live) {
+            return;
+        }
+        let is_listed = live.iter().any(|host| host.name == self.settings.host);
+        let count = live.len() + usize::from(!is_listed);
+        log::info!(hosts = count; "live entry hosts");
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.host_count.store(count, Ordering::Relaxed);
+        for group in self.groups() {
+            group.set_host_count(count);
+        }
+    }
+
     /// Returns the group with this name, and creates it if it does not exist.
     pub(crate) fn group(&self, name: &str) -> Arc<GroupRuntime<K, C>> {
         let mut groups = lock(&self.groups);
@@ -163,6 +183,7 @@
             return group.clone();
         }
         let group = GroupRuntime::new(name, &self.settings.host, self.clock.clone());
+        group.set_host_count(self.host_count.load(Ordering::Relaxed));
         groups.insert(name.to_owned(), group.clone());
         group
     }
--- a/crates/transport/src/managed/host_platform.rs
+++ b/crates/transport/src/managed/host_platform.rs
@@ -14,8 +14,8 @@
     /// Rows of the groups, which name their primaries, and the row of the
     /// promotion lease.
     Groups,
-    /// Rows of the entry hosts, renewed while a host is alive.
-    Hosts,
+    /// Rows of the data centres, which name their live entry hosts.
+    Presence,
 }
 
 /// A conditional write of one row.
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -20,6 +20,7 @@
     results: IntCounterVec,
     member_answers: IntCounterVec,
     plan_version: IntGauge,
+    store_calls: IntCounterVec,
     store_failures: IntCounterVec,
     dropped_lines: IntCounter,
 }
@@ -51,6 +52,13 @@
                 &["member", "outcome"],
             )?,
             plan_version: IntGauge::new("cassia_entry_plan_version", "Version of the plan.")?,
+            store_calls: IntCounterVec::new(
+                Opts::new(
+                    "cassia_entry_store_calls_total",
+                    "Calls of the store by their reason.",
+                ),
+                &["call"],
+            )?,
             store_failures: IntCounterVec::new(
                 Opts::new(
                     "cassia_entry_store_failures_total",
@@ -72,6 +80,7 @@
         registry.register(Box::new(self.results.clone()))?;
         registry.register(Box::new(self.member_answers.clone()))?;
         registry.register(Box::new(self.plan_version.clone()))?;
+        registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.store_failures.clone()))?;
         registry.register(Box::new(self.dropped_lines.clone()))
     }
@@ -106,6 +115,11 @@
             .inc();
     }
 
+    /// Counts a call to the store by its reason.
+    pub(crate) fn count_store_call(&self, call: &str) {
+        self.store_calls.with_label_values(&[call]).inc();
+    }
+
     /// Counts a failed call to the store.
     pub(crate) fn count_store_failure(&self, call: &str) {
         self.store_failures.with_label_values(&[call]).inc();
--- a/crates/transport/src/managed/plan_follower.rs
+++ b/crates/transport/src/managed/plan_follower.rs
@@ -10,14 +10,15 @@
 use super::context::HostContext;
 use super::host_platform::{HostPlatform, PlanReading, Result};
 use super::relay::ReadingKind;
+use super::store_follower::relayed_pause;
 
 /// Longest wait of one long poll. If the connection fails without notice, a new
 /// version is delayed by at most this wait plus the time that the client allows
 /// on top. Operators expect a new version within 3 s.
 const POLL_WAIT: Duration = Duration::from_millis(1_800);
-/// Pause after a failed call, and between checks while another host reads the
-/// plan for this one.
-const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed call. The calls for the other readings notice the store's
+/// return, too.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Reads each new version of the plan until the returned future is dropped.
 pub(super) async fn follow_plan<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
@@ -27,12 +28,13 @@
     let mut known_revision = None;
     let mut failing = false;
     loop {
-        if context.relay.has_recent_reading(ReadingKind::Plan) {
+        if let Some(pause) = relayed_pause(&context, ReadingKind::Plan, POLL_WAIT) {
             known_revision = None;
-            sleep(FAILURE_PAUSE).await;
+            sleep(pause).await;
             continue;
         }
         let asked_at = context.clock.now();
+        context.metrics.count_store_call("plan");
         match next_reading(&platform, known_revision).await {
             Ok(Some(reading)) => {
                 if std::mem::take(&mut failing) {
@@ -40,7 +42,8 @@
                 }
                 let has_plan = reading.plan.is_some() || context.plan().is_some();
                 known_revision = has_plan.then_some(reading.revision);
-                context.relay.publish_plan(&reading, asked_at);
+                context.relay.record_call(asked_at, reading.store_time);
+                context.relay.offer_plan(&reading);
                 context.observe_plan(reading.plan, asked_at);
                 if !has_plan {
                     sleep(FAILURE_PAUSE).await;
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -1,29 +1,26 @@
-//! Passes readings of the store on to the other entry hosts of the data centre, or
-//! fetches them from the host that reads the store for the others.
+//! The readings of the store that this host has, by its own calls or from the host
+//! that it fetches readings from, and offers to other hosts.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+mod follower;
+mod service;
+
+use std::collections::HashSet;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use coordination::managed::reader::{ReaderChoice, ReaderHost};
+use coordination::managed::presence::{PresenceKeeper, PresenceRow};
+use coordination::managed::reader::{ReaderChoice, ReadingSource};
 use coordination::managed::store_clock::StoreClock;
-use futures::StreamExt;
-use protocol::relay::{KnownReadings, RelayService, RelayServiceClient, RelayedReadings};
+use protocol::relay::{KnownReadings, ReadingsRequest, RelayedReadings, RelayedTable};
 use state::clock::MonotonicClock;
-use state::reading::{PlanReading, ServerListReading, TableReading};
-use tarpc::client::{self, NewClient};
-use tarpc::context::Context;
-use tarpc::server::{BaseChannel, Channel};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
-
-use super::codec::StatementCodec;
-use super::context::HostContext;
-use super::store_follower::{apply_group_rows, apply_server_list};
-use crate::rpc::{
-    frame_stream, ControlMeter, MeteredStream, RpcChannel, RpcConnection, RpcOptions,
+use state::entry::EntrySettings;
+use state::reading::{
+    HostReport, LiveHost, PlanReading, ServerListReading, StoredRow, TableReading,
 };
+use tokio::sync::{watch, Notify};
+
+pub(super) use follower::follow_reader;
+pub(super) use service::serve_relay;
 
 /// Largest message: a plan of several hundred routes and the rows of all groups
 /// and servers of a site.
@@ -31,18 +28,11 @@
 /// Longest wait of one call at the reader, which normally has a new reading every
 /// 600 ms.
 const CALL_WAIT: Duration = Duration::from_millis(750);
-/// Time in addition to [`CALL_WAIT`] after which the reader counts as lost.
-const CALL_SLACK: Duration = Duration::from_millis(100);
-/// Interval at which a host that reads the store itself looks for a reader.
-const CHOICE_INTERVAL: Duration = Duration::from_millis(200);
 /// Age of the last relayed reading of the groups' rows up to which the host does
 /// not read the rows itself.
 const GROUP_ROWS_MAX_AGE: Duration = Duration::from_millis(850);
 /// The same limit for the server list and the plan, which are read less often.
 const LIST_AND_PLAN_MAX_AGE: Duration = Duration::from_millis(3_000);
-/// Pause after `accept` failed, for example because the process is out of file
-/// descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What a reading holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,94 +45,217 @@
     Plan,
 }
 
-/// The host's own readings, which other hosts fetch, and the arrival times of the
-/// readings that this host fetched from its reader.
+/// The newest readings, the choice of the reader and the presence of hosts.
 #[derive(Debug)]
 pub(super) struct RelayHub<C> {
     clock: C,
+    data_centre: String,
+    region: Vec<String>,
     state: Mutex<RelayState>,
     changed: watch::Sender<u64>,
+    /// Notified when the live hosts changed or a host joined.
+    hosts_changed: Notify,
 }
 
 #[derive(Debug)]
 struct RelayState {
-    choice: ReaderChoice<SocketAddr>,
+    choice: ReaderChoice,
+    presence: PresenceKeeper,
     store_clock: StoreClock,
-    own: RelayedReadings,
+    /// Whether the host has tried to read the live hosts. Until then it does not
+    /// know whether another host reads the store.
+    is_started: bool,
+    own: OwnReadings,
+    /// The groups' rows that the reader sent last.
+    relayed_rows: Vec<StoredRow>,
     /// Instants at which the last relayed reading of each kind arrived.
     group_rows_at: Option<Instant>,
     server_list_at: Option<Instant>,
     plan_at: Option<Instant>,
 }
 
+/// The readings that this host offers.
+#[derive(Debug)]
+struct OwnReadings {
+    known: KnownReadings,
+    group_rows: Option<TableReading>,
+    /// Number of the first reading with the rows of `group_rows`.
+    same_rows_since: u64,
+    server_list: Option<ServerListReading>,
+    plan: Option<PlanReading>,
+    hosts: Vec<LiveHost>,
+}
+
 impl<C: MonotonicClock> RelayHub<C> {
-    pub(super) fn new(host: &str, clock: C) -> Self {
-        let own = RelayedReadings {
+    pub(super) fn new(settings: &EntrySettings, region: &[String], clock: C) -> Self {
+        let incarnation = rand::random();
+        let report = HostReport {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            relay_address: settings.relay_address,
+        };
+        let own = OwnReadings {
             known: KnownReadings {
-                incarnation: rand::random(),
+                incarnation,
                 ..KnownReadings::default()
             },
-            ..RelayedReadings::default()
+            group_rows: None,
+            same_rows_since: 0,
+            server_list: None,
+            plan: None,
+            hosts: Vec::new(),
         };
         Self {
             clock,
+            data_centre: settings.data_centre.clone(),
+            region: region.to_vec(),
             state: Mutex::new(RelayState {
-                choice: ReaderChoice::new(host),
+                choice: ReaderChoice::new(&settings.host),
+                presence: PresenceKeeper::new(report),
                 store_clock: StoreClock::default(),
+                is_started: false,
                 own,
+                relayed_rows: Vec::new(),
                 group_rows_at: None,
                 server_list_at: None,
                 plan_at: None,
             }),
             changed: watch::Sender::new(0),
+            hosts_changed: Notify::new(),
         }
     }
 
-    /// Returns whether a recent reading of this kind came from the reader, so that the
-    /// host need not read the store itself.
-    pub(super) fn has_recent_reading(&self, kind: ReadingKind) -> bool {
+    fn lock(&self) -> MutexGuard<'_, RelayState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn signal(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns where the next reading of this kind comes from.
+    pub(super) fn source(&self, kind: ReadingKind) -> ReadingSource {
         let now = self.clock.now();
         let state = self.lock();
-        if state.choice.reader(now).is_none() {
-            return false;
+        if !state.is_started {
+            return ReadingSource::Reader;
         }
         let (arrived_at, max_age) = match kind {
             ReadingKind::GroupRows => (state.group_rows_at, GROUP_ROWS_MAX_AGE),
             ReadingKind::ServerList => (state.server_list_at, LIST_AND_PLAN_MAX_AGE),
             ReadingKind::Plan => (state.plan_at, LIST_AND_PLAN_MAX_AGE),
         };
-        arrived_at.is_some_and(|instant| now.saturating_duration_since(instant) < max_age)
+        let is_recent =
+            arrived_at.is_some_and(|instant| now.saturating_duration_since(instant) < max_age);
+        let chance = rand::random_range(0.0..1.0);
+        state.choice.source(is_recent, chance, now)
     }
 
-    /// Sets the live entry hosts of the data centre.
-    pub(super) fn set_hosts(&self, hosts: Vec<ReaderHost<SocketAddr>>) {
-        self.lock().choice.set_hosts(hosts);
+    /// Records that the host has tried to read the live hosts.
+    pub(super) fn record_start(&self) {
+        self.lock().is_started = true;
+        self.hosts_changed.notify_waiters();
     }
 
-    /// Offers the host's own reading of the groups' rows to the other hosts.
-    pub(super) fn publish_group_rows(&self, reading: &TableReading, asked_at: Instant) {
+    /// Records a call of the store, which bounds the store's clock.
+    pub(super) fn record_call(&self, asked_at: Instant, store_time: Duration) {
+        let answered_at = self.clock.now();
         let mut state = self.lock();
-        state.store_clock.record_call(asked_at, reading.store_time);
-        state.own.known.reigns += 1;
-        state.own.reigns = Some(reading.clone());
+        state
+            .store_clock
+            .record_call(asked_at, store_time, answered_at);
+    }
+
+    /// Returns the time until this host has to renew its data centre's row; `None` if
+    /// it reports to another host of the data centre instead.
+    pub(super) fn renewal_wait(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let reader = state.choice.reader(now);
+        if reader.is_some_and(|reader| reader.data_centre == self.data_centre) {
+            return None;
+        }
+        let due = state.presence.renewal_due();
+        Some(due.map_or(Duration::ZERO, |due| due.saturating_duration_since(now)))
+    }
+
+    /// Records that the rows of live hosts were read in order to renew this data
+    /// centre's.
+    pub(super) fn record_renewal(&self) {
+        let now = self.clock.now();
+        self.lock().presence.record_renewal(now);
+    }
+
+    /// Returns the data centre's row with this host's knowledge added, from a reading
+    /// of the row at `store_time`, and whether it has to be written.
+    pub(super) fn renewed_row(
+        &self,
+        row: &PresenceRow,
+        store_time: Duration,
+    ) -> (PresenceRow, bool) {
+        let now = self.clock.now();
+        let state = self.lock();
+        let renewed = state.presence.renewed_row(row, store_time, now);
+        let has_to_write = state.presence.has_to_write(row, &renewed);
+        (renewed, has_to_write)
+    }
+
+    /// Waits until the live hosts change, a host joins, or `max_wait` has passed.
+    pub(super) async fn await_hosts(&self, max_wait: Duration) {
+        // A change and the end of the wait both lead to a new look.
+        let _changed = tokio::time::timeout(max_wait, self.hosts_changed.notified()).await;
+    }
+
+    /// Sets the live hosts, and offers them to other hosts if they changed. Returns
+    /// whether they did.
+    pub(super) fn set_hosts(&self, live: &[LiveHost]) -> bool {
+        let mut state = self.lock();
+        if state.own.hosts == live {
+            return false;
+        }
+        state
+            .choice
+            .set_hosts(live, &self.data_centre, &self.region);
+        state.own.hosts = live.to_vec();
+        state.own.known.hosts += 1;
+        drop(state);
+        self.hosts_changed.notify_waiters();
+        self.signal();
+        true
+    }
+
+    /// Offers a reading of the groups' rows to the other hosts, unless it is older
+    /// than the one that is offered already.
+    pub(super) fn offer_group_rows(&self, reading: &TableReading) {
+        let mut state = self.lock();
+        let own = &mut state.own;
+        let known = own.group_rows.as_ref();
+        if known.is_some_and(|known| known.store_time > reading.store_time) {
+            return;
+        }
+        own.known.group_rows += 1;
+        if known.is_none_or(|known| known.rows != reading.rows) {
+            own.same_rows_since = own.known.group_rows;
+        }
+        own.group_rows = Some(reading.clone());
         drop(state);
         self.signal();
     }
 
-    /// Offers the host's own reading of the server list to the other hosts.
-    pub(super) fn publish_server_list(&self, reading: &ServerListReading) {
+    /// Offers a reading of the server list to the other hosts.
+    pub(super) fn offer_server_list(&self, reading: &ServerListReading) {
         let mut state = self.lock();
-        state.own.known.listing += 1;
-        state.own.listing = Some(reading.clone());
+        state.own.known.server_list += 1;
+        state.own.server_list = Some(reading.clone());
         drop(state);
         self.signal();
     }
 
-    /// Offers the host's own reading of the plan to the other hosts. A reading
-    /// without a newer version confirms the known plan.
-    pub(super) fn publish_plan(&self, reading: &PlanReading, asked_at: Instant) {
+    /// Offers a reading of the plan to the other hosts. A reading without a newer
+    /// version confirms the known plan.
+    pub(super) fn offer_plan(&self, reading: &PlanReading) {
         let mut state = self.lock();
-        state.store_clock.record_call(asked_at, reading.store_time);
         state.own.known.plan += 1;
         let known = state.own.plan.take().and_then(|known| known.plan);
         let newest = match (known, &reading.plan) {
@@ -158,12 +271,30 @@
         self.signal();
     }
 
-    fn signal(&self) {
-        self.changed.send_modify(|count| *count += 1);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, RelayState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Records the reports of a request. Returns a time that the store's clock has
+    /// not passed yet.
+    fn record_request(&self, request: &ReadingsRequest) -> Option<Duration> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let listed: HashSet<&str> = state
+            .own
+            .hosts
+            .iter()
+            .map(|host| host.name.as_str())
+            .collect();
+        let joins = request
+            .reports
+            .iter()
+            .any(|report| !listed.contains(report.host.as_str()));
+        for report in &request.reports {
+            state.presence.record_report(report.clone(), now);
+        }
+        let store_time = state.store_clock.latest_time_at(now);
+        drop(state);
+        if joins {
+            self.hosts_changed.notify_waiters();
+        }
+        store_time
     }
 
     /// Returns the readings that are newer than those known to the asking host.
@@ -172,166 +303,32 @@
         let own = &state.own;
         let same = known.incarnation == own.known.incarnation;
         let is_new = |ours: u64, theirs: u64| ours > 0 && (!same || ours > theirs);
+        let has_rows = same && known.group_rows >= own.same_rows_since;
+        let group_rows = own.group_rows.as_ref().map(|reading| match has_rows {
+            true => RelayedTable::SameRows {
+                revision: reading.revision,
+                store_time: reading.store_time,
+            },
+            false => RelayedTable::Whole(reading.clone()),
+        });
         let reply = RelayedReadings {
             known: own.known,
-            reigns: own
-                .reigns
-                .clone()
-                .filter(|_| is_new(own.known.reigns, known.reigns)),
-            listing: own
-                .listing
+            store_time: None,
+            group_rows: group_rows.filter(|_| is_new(own.known.group_rows, known.group_rows)),
+            server_list: own
+                .server_list
                 .clone()
-                .filter(|_| is_new(own.known.listing, known.listing)),
+                .filter(|_| is_new(own.known.server_list, known.server_list)),
             plan: own
                 .plan
                 .clone()
                 .filter(|_| is_new(own.known.plan, known.plan)),
+            hosts: is_new(own.known.hosts, known.hosts).then(|| own.hosts.clone()),
         };
-        let has_any = reply.reigns.is_some() || reply.listing.is_some() || reply.plan.is_some();
+        let has_any = reply.group_rows.is_some()
+            || reply.server_list.is_some()
+            || reply.plan.is_some()
+            || reply.hosts.is_some();
         has_any.then_some(reply)
     }
 }
-
-#[derive(Debug)]
-struct RelayServer<C>(Arc<RelayHub<C>>);
-
-impl<C> Clone for RelayServer<C> {
-    fn clone(&self) -> Self {
-        Self(self.0.clone())
-    }
-}
-
-impl<C: MonotonicClock> RelayService for RelayServer<C> {
-    async fn next_readings(self, _: Context, known: KnownReadings) -> RelayedReadings {
-        let hub = self.0;
-        let now = hub.clock.now();
-        hub.lock().choice.record_asked(now);
-        let mut changes = hub.changed.subscribe();
-        let wait = async {
-            loop {
-                if let Some(readings) = hub.newer_than(&known) {
-                    return readings;
-                }
-                if changes.changed().await.is_err() {
-                    return RelayedReadings::default();
-                }
-            }
-        };
-        timeout(CALL_WAIT, wait).await.unwrap_or(RelayedReadings {
-            known,
-            ..RelayedReadings::default()
-        })
-    }
-}
-
-/// Answers the other hosts' calls for readings until the returned future is
-/// dropped.
-pub(super) async fn serve_relay<C: MonotonicClock>(listener: TcpListener, hub: Arc<RelayHub<C>>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(
-                    reason = error.to_string().as_str();
-                    "cannot accept an entry host's connection"
-                );
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let server = RelayServer(hub.clone());
-        tokio::spawn(async move {
-            let metered = MeteredStream::new(stream, ControlMeter::default());
-            let channel = BaseChannel::with_defaults(frame_stream(metered, FRAME_LIMIT_BYTES));
-            channel
-                .execute(server.serve())
-                .for_each_concurrent(None, |call| call)
-                .await;
-        });
-    }
-}
-
-/// Fetches readings from the data centre's reader until the returned future is
-/// dropped.
-pub(super) async fn follow_reader<K: StatementCodec, C: MonotonicClock>(
-    context: Arc<HostContext<K, C>>,
-) {
-    let mut known = KnownReadings::default();
-    let mut channel: Option<(SocketAddr, RpcChannel<RelayServiceClient>)> = None;
-    loop {
-        let hub = &context.relay;
-        let reader = hub.lock().choice.reader(hub.clock.now()).cloned();
-        let Some(reader) = reader else {
-            channel = None;
-            sleep(CHOICE_INTERVAL).await;
-            continue;
-        };
-        let (address, rpc) = channel
-            .take()
-            .filter(|(address, _)| *address == reader.address)
-            .unwrap_or_else(|| {
-                log::info!(host = reader.name.as_str(); "readings come from another host");
-                (reader.address, open_channel(reader.address))
-            });
-        let asked = known;
-        let call = move |client: RelayServiceClient, context| async move {
-            client.next_readings(context, asked).await
-        };
-        match rpc.call(CALL_WAIT, call).await {
-            Ok(readings) => {
-                known = readings.known;
-                apply(&context, &readings);
-                channel = Some((address, rpc));
-            }
-            Err(error) => {
-                let (host, reason) = (reader.name.as_str(), error.to_string());
-                log::warn!(host, reason = reason.as_str(); "reading host lost");
-                let now = hub.clock.now();
-                hub.lock().choice.record_failure(&reader.name, now);
-            }
-        }
-    }
-}
-
-fn open_channel(address: SocketAddr) -> RpcChannel<RelayServiceClient> {
-    let options = RpcOptions {
-        address,
-        timeout: CALL_SLACK,
-        meter: ControlMeter::default(),
-    };
-    RpcChannel::new(options, |stream| {
-        let meter = stream.meter().clone();
-        let transport = frame_stream(stream, FRAME_LIMIT_BYTES);
-        let NewClient { client, dispatch } =
-            RelayServiceClient::new(client::Config::default(), transport);
-        RpcConnection::spawn(client, dispatch, meter)
-    })
-}
-
-/// Applies relayed readings. A reading is skipped if its age is unknown because
-/// this host has not called the store yet. The server list needs no age.
-fn apply<K: StatementCodec, C: MonotonicClock>(
-    context: &HostContext<K, C>,
-    readings: &RelayedReadings,
-) {
-    let hub = &context.relay;
-    let now = hub.clock.now();
-    if let Some(reading) = &readings.reigns {
-        let asked_at = hub.lock().store_clock.instant_of(reading.store_time);
-        if let Some(asked_at) = asked_at {
-            apply_group_rows(context, reading, asked_at);
-            hub.lock().group_rows_at = Some(now);
-        }
-    }
-    if let Some(reading) = &readings.listing {
-        apply_server_list(context, reading);
-        hub.lock().server_list_at = Some(now);
-    }
-    if let Some(reading) = &readings.plan {
-        let asked_at = hub.lock().store_clock.instant_of(reading.store_time);
-        if let Some(asked_at) = asked_at {
-            context.observe_plan(reading.plan.clone(), asked_at);
-            hub.lock().plan_at = Some(now);
-        }
-    }
-}
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -20,8 +20,9 @@
 use super::group_watch::watch_group;
 use super::host_platform::HostPlatform;
 use super::plan_follower::follow_plan;
+use super::presence_follower::follow_hosts;
 use super::relay::{follow_reader, serve_relay};
-use super::store_follower::{follow_group_rows, follow_hosts, follow_server_list};
+use super::store_follower::{follow_group_rows, follow_server_list};
 
 /// Interval at which the host looks for groups that are not watched yet.
 const GROUP_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -1,14 +1,12 @@
-//! Reads the groups' rows, the entry hosts' rows and the list of backend servers,
-//! and writes the rows that belong to this host.
+//! Reads the groups' rows and the list of backend servers, and creates missing rows.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coordination::managed::primary_view::{GroupRow, READ_INTERVAL};
-use coordination::managed::reader::ReaderHost;
-use serde::{Deserialize, Serialize};
+use coordination::managed::reader::ReadingSource;
+use serde::Serialize;
 use state::clock::MonotonicClock;
 use state::member::MemberRole;
 use state::server_list::ListedServer;
@@ -31,34 +29,28 @@
 const LIST_OUTAGE_AGE: Duration = Duration::from_millis(3_500);
 /// Interval at which a host checks whether another host still reads for it.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which a host renews its own row and counts the live hosts.
-const HOST_INTERVAL: Duration = Duration::from_secs(10);
-/// Interval before the second renewal, so that hosts that start at the same time
-/// soon know each other.
-const FIRST_HOST_INTERVAL: Duration = Duration::from_millis(1_200);
-/// Time after which a host counts as dead if its row does not change. One renewal
-/// may be lost without that.
-const HOST_LIFETIME: Duration = Duration::from_secs(22);
 /// Timeout of the status question that precedes the first row of a group.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Value of an entry host's row.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
-struct HostRow {
-    /// Number of renewals since the process started.
-    renewals: u64,
-    /// Data centre of the host.
-    data_centre: String,
-    /// Address at which the host passes readings on to other hosts.
-    relay_address: SocketAddr,
-}
-
 /// Returns the key of a group's row.
 pub(super) fn group_key(group: &str) -> String {
     format!("{GROUP_PREFIX}{group}")
 }
 
+/// Returns the time until the source of a reading is looked at again, or `None` if
+/// this host has to read the store now. `interval` is that of the readings.
+pub(super) fn relayed_pause<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    kind: ReadingKind,
+    interval: Duration,
+) -> Option<Duration> {
+    match context.relay.source(kind) {
+        ReadingSource::Store => None,
+        ReadingSource::Reader => Some(RELAY_CHECK_INTERVAL),
+        ReadingSource::Skip => Some(interval),
+    }
+}
+
 /// Reads the groups' rows periodically until the returned future is dropped.
 pub(super) async fn follow_group_rows<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
     context: Arc<HostContext<K, C>>,
@@ -66,21 +58,23 @@
 ) {
     let mut failing = false;
     loop {
-        if context.relay.has_recent_reading(ReadingKind::GroupRows) {
-            sleep(RELAY_CHECK_INTERVAL).await;
+        if let Some(pause) = relayed_pause(&context, ReadingKind::GroupRows, READ_INTERVAL) {
+            sleep(pause).await;
             continue;
         }
         let asked_at = context.clock.now();
+        context.metrics.count_store_call("group_rows");
         match platform.read_table(ControlTable::Groups).await {
             Ok(reading) => {
                 if std::mem::take(&mut failing) {
                     log::info!(revision = reading.revision; "group rows can be read again");
                 }
-                context.relay.publish_group_rows(&reading, asked_at);
+                context.relay.record_call(asked_at, reading.store_time);
+                context.relay.offer_group_rows(&reading);
                 apply_group_rows(&context, &reading, asked_at);
             }
             Err(error) => {
-                context.metrics.count_store_failure("reigns");
+                context.metrics.count_store_failure("group_rows");
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(reason = error.to_string().as_str(); "group rows cannot be read");
                 }
@@ -91,7 +85,11 @@
         let intervals = groups
             .iter()
             .map(|group| group.with(|group| group.primary_view.read_interval(now)));
-        sleep(intervals.min().unwrap_or(READ_INTERVAL)).await;
+        // The interval runs from call to call, so that a slow store does not stretch it
+        // beyond the assurances.
+        let elapsed = now.saturating_duration_since(asked_at);
+        let interval = intervals.min().unwrap_or(READ_INTERVAL);
+        sleep(interval.saturating_sub(elapsed)).await;
     }
 }
 
@@ -127,16 +125,17 @@
 ) {
     let mut failing = false;
     loop {
-        if context.relay.has_recent_reading(ReadingKind::ServerList) {
-            sleep(RELAY_CHECK_INTERVAL).await;
+        if let Some(pause) = relayed_pause(&context, ReadingKind::ServerList, LIST_INTERVAL) {
+            sleep(pause).await;
             continue;
         }
+        context.metrics.count_store_call("servers");
         match platform.list_servers().await {
             Ok(reading) => {
                 if std::mem::take(&mut failing) {
                     log::info!("server list can be read again");
                 }
-                context.relay.publish_server_list(&reading);
+                context.relay.offer_server_list(&reading);
                 apply_server_list(&context, &reading);
                 create_missing_rows(&context, &platform, &reading.servers).await;
             }
@@ -269,102 +268,3 @@
 pub(super) fn encode_row<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("a row of texts and numbers can be encoded")
 }
-
-/// Renews the host's own row and counts the live hosts periodically until the
-/// returned future is dropped.
-pub(super) async fn follow_hosts<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
-    context: Arc<HostContext<K, C>>,
-    platform: P,
-) {
-    let mut renewals = 0;
-    let mut seen: HashMap<String, (u64, Instant)> = HashMap::new();
-    loop {
-        match platform.read_table(ControlTable::Hosts).await {
-            Ok(reading) => {
-                let now = context.clock.now();
-                let live = live_hosts(&reading, &mut seen, now);
-                let count = u32::try_from(live.len()).unwrap_or(u32::MAX);
-                for group in context.groups() {
-                    group.set_host_count(count);
-                }
-                let own = context.settings.data_centre.as_str();
-                let local_hosts = live.into_iter().filter(|(row, _)| row.data_centre == own);
-                context
-                    .relay
-                    .set_hosts(local_hosts.map(|(_, host)| host).collect());
-                renewals += 1;
-                renew_host_row(&context, &platform, &reading, renewals).await;
-            }
-            Err(error) => {
-                context.metrics.count_store_failure("hosts");
-                log::debug!(reason = error.to_string().as_str(); "host rows cannot be read");
-            }
-        }
-        sleep(match renewals {
-            0 | 1 => FIRST_HOST_INTERVAL,
-            _ => HOST_INTERVAL,
-        })
-        .await;
-    }
-}
-
-fn live_hosts(
-    reading: &TableReading,
-    seen: &mut HashMap<String, (u64, Instant)>,
-    now: Instant,
-) -> Vec<(HostRow, ReaderHost<SocketAddr>)> {
-    let mut live = Vec::new();
-    for row in &reading.rows {
-        let entry = seen.entry(row.key.clone()).or_insert((row.revision, now));
-        if entry.0 != row.revision {
-            *entry = (row.revision, now);
-        }
-        if now.saturating_duration_since(entry.1) >= HOST_LIFETIME {
-            continue;
-        }
-        match serde_json::from_slice::<HostRow>(&row.value) {
-            Ok(value) => {
-                let host = ReaderHost {
-                    name: row.key.clone(),
-                    address: value.relay_address,
-                };
-                live.push((value, host));
-            }
-            Err(error) => {
-                let reason = error.to_string();
-                log::error!(
-                    key = row.key.as_str(), reason = reason.as_str();
-                    "cannot decode a host row"
-                );
-            }
-        }
-    }
-    live
-}
-
-async fn renew_host_row<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
-    context: &HostContext<K, C>,
-    platform: &P,
-    reading: &TableReading,
-    renewals: u64,
-) {
-    let host = &context.settings.host;
-    let own = reading.rows.iter().find(|row| row.key == *host);
-    let value = encode_row(&HostRow {
-        renewals,
-        data_centre: context.settings.data_centre.clone(),
-        relay_address: context.settings.relay_address,
-    });
-    let written = platform
-        .write_row(&ControlWrite {
-            table: ControlTable::Hosts,
-            key: host,
-            expected_revision: own.map_or(0, |row| row.revision),
-            value: &value,
-        })
-        .await;
-    if let Err(error) = written {
-        context.metrics.count_store_failure("hosts");
-        log::debug!(reason = error.to_string().as_str(); "own host row not renewed");
-    }
-}
