Check the messages before log-in before they reach the decoder

Cause: a start-up packet without terminators and a log-in message that is shorter than its length made the protocol library read past the end. The task panicked with a backtrace, the caller got no answer, and the log nothing.

Change: protocol::login reads start-up packets and checks initial responses with checked reads; a violation is answered with 08P01 and logged. A panic of any task is one bounded line of the log and counts in cassia_panics_total.

Other uses of the library's decoders after log-in were not found (frames are split by our own code); those of the stand-ins were not changed.

--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -353,6 +353,9 @@
     put_error(out, severity, code.sqlstate(), &message, &detail);
 }
 
+/// SQLSTATE of an answer to a message that violates the protocol.
+pub const PROTOCOL_VIOLATION: &str = "08P01";
+
 /// Encodes a ReadyForQuery; `status` is `I`, `T` or `E`.
 pub fn put_ready(out: &mut BytesMut, status: u8) {
     put_frame(out, tag::READY, |out| out.put_u8(status));
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod classify;
 pub mod frame;
+pub mod login;
 pub mod member_control;
 pub mod options;
 pub mod peer;
--- a/crates/transport/src/caller/scram.rs
+++ b/crates/transport/src/caller/scram.rs
@@ -19,6 +19,7 @@
 use pgwire::messages::response::TransactionStatus;
 use pgwire::messages::startup::{Authentication, PasswordMessageFamily, SecretKey, Startup};
 use pgwire::messages::{Message, PgWireBackendMessage, PgWireFrontendMessage, ProtocolVersion};
+use protocol::login::is_initial_response;
 use rustls_pki_types::CertificateDer;
 use state::settings::UserCredential;
 
@@ -84,11 +85,18 @@
 pub(crate) struct ScramExchange {
     handler: SASLScramAuthStartupHandler<PasswordSource, DefaultServerParameterProvider>,
     client: LoginClient,
+    /// Whether the initial response has been received.
+    has_begun: bool,
 }
 
-/// The caller failed to authenticate.
+/// Why a caller is not logged in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct LoginRefused;
+pub(crate) enum LoginRefused {
+    /// A message violates the protocol.
+    Malformed,
+    /// The exchange failed, for example because the password is wrong.
+    Denied,
+}
 
 impl ScramExchange {
     /// Starts the exchange and adds its first frames to `out`.
@@ -106,6 +114,7 @@
         let mut exchange = Self {
             handler,
             client: LoginClient::new(address),
+            has_begun: false,
         };
         let mut startup = Startup::new();
         startup
@@ -124,6 +133,9 @@
         body: &[u8],
         out: &mut BytesMut,
     ) -> Result<bool, LoginRefused> {
+        if !std::mem::replace(&mut self.has_begun, true) && !is_initial_response(body) {
+            return Err(LoginRefused::Malformed);
+        }
         let raw = PasswordMessageFamily::Raw(BytesMut::from(body));
         let message = PgWireFrontendMessage::PasswordMessageFamily(raw);
         self.step(message, out).await?;
@@ -136,7 +148,7 @@
         out: &mut BytesMut,
     ) -> Result<(), LoginRefused> {
         let answered = self.handler.on_startup(&mut self.client, message).await;
-        answered.map_err(|_| LoginRefused)?;
+        answered.map_err(|_| LoginRefused::Denied)?;
         out.extend_from_slice(&self.client.output.split());
         Ok(())
     }
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -6,16 +6,15 @@
 use std::time::Instant;
 
 use bytes::BytesMut;
-use pgwire::messages::startup::Startup;
-use pgwire::messages::{DecodeContext, Message};
-use protocol::frame::{self, tag, ErrorSeverity};
+use protocol::frame::{self, tag, ErrorSeverity, PROTOCOL_VIOLATION};
+use protocol::login::read_startup;
 use protocol::options::{parse_change, SessionVariable, VariableChange};
 use protocol::peer::CancelKey;
 use protocol::result_code::ResultCode;
 use tokio::net::TcpStream;
 
 use super::context::CallerContext;
-use super::scram::ScramExchange;
+use super::scram::{LoginRefused, ScramExchange};
 use crate::session::io::CallerIo;
 use crate::session::refusal::Refusal;
 use crate::session::{CallerSession, SessionStart};
@@ -84,7 +83,14 @@
     }
 
     pub(crate) async fn run(mut self) -> io::Result<StartOutcome> {
-        match self.first_packet().await? {
+        let first = match self.first_packet().await {
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                self.reject_malformed(&error).await?;
+                return Err(error);
+            }
+            first => first?,
+        };
+        match first {
             FirstPacket::Cancel(key) => {
                 self.cancel(key).await;
                 Ok(StartOutcome::Ended)
@@ -98,7 +104,7 @@
 
     async fn first_packet(&mut self) -> io::Result<FirstPacket> {
         for _ in 0..=ENCRYPTION_REQUESTS {
-            let mut packet = self.read_packet().await?;
+            let packet = self.read_packet().await?;
             let code = packet.get(4..8).and_then(|code| code.try_into().ok());
             match code.map(i32::from_be_bytes) {
                 Some(TLS_REQUEST_CODE | GSS_REQUEST_CODE) => {
@@ -107,12 +113,8 @@
                 }
                 Some(CANCEL_REQUEST_CODE) => return read_cancel(&packet).ok_or_else(malformed),
                 _ => {
-                    let decoded = Startup::decode(&mut packet, &DecodeContext::default());
-                    let startup = decoded.ok().flatten().ok_or_else(malformed)?;
-                    if startup.protocol_number_major != 3 {
-                        return Err(malformed());
-                    }
-                    return Ok(FirstPacket::Startup(startup.parameters));
+                    let parameters = read_startup(&packet).ok_or_else(malformed)?;
+                    return Ok(FirstPacket::Startup(parameters));
                 }
             }
         }
@@ -168,7 +170,12 @@
             match exchange.answer(frame.body(), &mut self.io.output).await {
                 Ok(true) => return Ok(true),
                 Ok(false) => {}
-                Err(_) => return Ok(false),
+                Err(LoginRefused::Malformed) => {
+                    let error = io::Error::new(io::ErrorKind::InvalidData, "malformed log-in");
+                    self.reject_malformed(&error).await?;
+                    return Err(error);
+                }
+                Err(LoginRefused::Denied) => return Ok(false),
             }
         }
     }
@@ -210,6 +217,16 @@
         Ok(StartOutcome::Session(session))
     }
 
+    /// Tells the caller that its message violates the protocol.
+    async fn reject_malformed(&mut self, error: &io::Error) -> io::Result<()> {
+        let address = self.io.peer_address()?.to_string();
+        let reason = error.to_string();
+        log::info!(caller = address.as_str(), reason = reason.as_str(); "malformed message");
+        let (severity, out) = (ErrorSeverity::Fatal, &mut self.io.output);
+        frame::put_error(out, severity, PROTOCOL_VIOLATION, &reason, "");
+        self.io.flush().await
+    }
+
     async fn refuse(mut self, refusal: &Refusal) -> io::Result<StartOutcome> {
         self.context.metrics.count_refusal(refusal.code);
         let severity = ErrorSeverity::Fatal;
--- a/crates/transport/src/logging.rs
+++ b/crates/transport/src/logging.rs
@@ -5,11 +5,13 @@
 //! thread writes the lines, so that a slow reader of the output does not block
 //! requests.
 
+mod panic;
 mod queue;
 
 use log::LevelFilter;
 use log4rs::config::{Appender, Config, Root};
 
+pub use panic::panics;
 pub use queue::dropped_lines;
 use queue::QueueAppender;
 
@@ -28,7 +30,8 @@
 /// Log target of `tarpc`, which logs each call at level info.
 const RPC_TARGET: &str = "tarpc";
 
-/// Starts the log of the process. Lines below `level` are not written.
+/// Starts the log of the process. Lines below `level` are not written. Panics are
+/// logged from now on.
 pub fn start(level: LevelFilter) -> Result<()> {
     let appender = QueueAppender::start();
     let config = Config::builder()
@@ -37,5 +40,6 @@
         .build(Root::builder().appender(APPENDER).build(level))
         .expect("the only appender is defined");
     log4rs::init_config(config).map_err(|_| LoggingError::AlreadyStarted)?;
+    panic::install_hook();
     Ok(())
 }
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -28,6 +28,7 @@
     document_version: IntGauge,
     control_bytes: IntCounter,
     control_seconds: Gauge,
+    panics: IntCounter,
     meter: ControlMeter,
 }
 
@@ -71,6 +72,10 @@
                 "cassia_control_seconds_total",
                 "Time that control tasks ran; an upper limit of their CPU time.",
             )?,
+            panics: IntCounter::new(
+                "cassia_panics_total",
+                "Panics of tasks; each ends the session or call that it serves.",
+            )?,
             meter,
         };
         metrics.register_all()?;
@@ -82,7 +87,8 @@
         registry.register(Box::new(self.failover_seconds.clone()))?;
         registry.register(Box::new(self.document_version.clone()))?;
         registry.register(Box::new(self.control_bytes.clone()))?;
-        registry.register(Box::new(self.control_seconds.clone()))
+        registry.register(Box::new(self.control_seconds.clone()))?;
+        registry.register(Box::new(self.panics.clone()))
     }
 
     /// Returns the registry, for the metrics of other parts of the daemon.
@@ -107,6 +113,8 @@
     pub fn render(&self) -> String {
         let bytes = self.meter.bytes().saturating_sub(self.control_bytes.get());
         self.control_bytes.inc_by(bytes);
+        let panics = crate::logging::panics().saturating_sub(self.panics.get());
+        self.panics.inc_by(panics);
         self.control_seconds.set(self.meter.busy().as_secs_f64());
         let mut text = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -30,7 +30,7 @@
 use coordination::routing::ReplicaPosition;
 use coordination::session_bound::SessionBound;
 use protocol::classify::StatementKind;
-use protocol::frame::{self, tag, ErrorSeverity, WireFrame};
+use protocol::frame::{self, tag, ErrorSeverity, WireFrame, PROTOCOL_VIOLATION};
 use protocol::options::VariableChange;
 use protocol::result_code::{ResultCode, RunOutcome};
 use state::keys::CustomerKey;
@@ -53,8 +53,6 @@
 const CANCELLED: &str = "57014";
 /// SQLSTATE of a lost connection.
 const CONNECTION_FAILURE: &str = "08006";
-/// SQLSTATE of a protocol violation.
-const PROTOCOL_VIOLATION: &str = "08P01";
 /// SQLSTATE of the error when the request id of a transaction is already
 /// recorded. The result code has no SQLSTATE for errors; the database reported a
 /// unique violation.
