Refuse at once what no queue can serve in time, and count queues in the choice

The cost of a member left out the statements that wait in this host's own queue for it (a host of 30 has one place per member), so that reads joined a queue beside idle members. A statement that every queue had refused was tried again every 50 ms until its deadline.

Change: the wait in the host's own queue counts in the cost of a member. A statement that a queue refused because it cannot run by the deadline waits for another route once, and is then refused as not run, with a time to come back.

--- a/crates/coordination/src/managed/dispatch.rs
+++ b/crates/coordination/src/managed/dispatch.rs
@@ -120,6 +120,34 @@
     now <= expected_at && expected_at <= deadline
 }
 
+/// What a statement does after no member took it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueRefusals {
+    /// Whether a queue refused the statement because its wait would exceed the
+    /// deadline.
+    refused: bool,
+    /// Number of times that the statement has waited for a route since.
+    waits: u32,
+}
+
+impl QueueRefusals {
+    /// Records that a member's queue refused the statement.
+    pub fn record(&mut self) {
+        self.refused = true;
+    }
+
+    /// Returns whether the statement may wait for another route. Queues that cannot
+    /// serve it by its deadline do not become shorter than that, so that it waits at
+    /// most once more, for a replica that lags behind.
+    pub fn may_wait(&mut self) -> bool {
+        if !self.refused {
+            return true;
+        }
+        self.waits += 1;
+        self.waits <= 1
+    }
+}
+
 /// Chooses the member for a read.
 pub fn choose_read(
     group: &ManagedGroup,
@@ -213,10 +241,12 @@
     }
 }
 
-/// Estimates the time of a read at a member and adds the cost of its distance.
+/// Estimates the time of a read at a member, the wait in this host's queue included,
+/// and adds the cost of its distance.
 fn cost(member: &ManagedMember, location: &HostLocation<'_>) -> Duration {
     let slots = f64::from(member.server.slots.max(1));
-    let load = 1.0 + f64::from(member.in_flight) / slots;
+    let queue = f64::from(member.waiting) / f64::from(member.in_flight_limit.max(1));
+    let load = 1.0 + f64::from(member.in_flight) / slots + queue;
     let distance = if member.server.data_centre == location.data_centre {
         Duration::ZERO
     } else if location.region.contains(&member.server.data_centre) {
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -83,6 +83,11 @@
     pub latency: Duration,
     /// Statements of this host that the member has not answered yet.
     pub in_flight: u32,
+    /// Statements of this host that wait in its queue for the member.
+    pub waiting: u32,
+    /// Largest number of statements that this host has in flight at the member; at
+    /// least 1.
+    pub in_flight_limit: u32,
 }
 
 impl ManagedMember {
@@ -96,6 +101,8 @@
             lag: None,
             latency: INITIAL_LATENCY,
             in_flight: 0,
+            waiting: 0,
+            in_flight_limit: 1,
         }
     }
 
--- a/crates/coordination/tests/managed_dispatch.rs
+++ b/crates/coordination/tests/managed_dispatch.rs
@@ -8,7 +8,7 @@
 
 use coordination::managed::dispatch::{
     choose_primary, choose_read, may_await_primary, ChoiceFailure, HostLocation, MemberChoice,
-    RequestedRead,
+    QueueRefusals, RequestedRead,
 };
 use coordination::managed::group::{ContactFailure, ListEvent, ManagedGroup, RELIST_GRACE};
 use coordination::managed::primary_view::{AssuranceState, RoundReply, ASSURANCE_DURATION};
@@ -249,6 +249,53 @@
 }
 
 /// Load pattern: one replica answers ten times slower than the others.
+/// Load pattern: a burst at one of many hosts. Its share of a member is one statement
+/// in flight, so that the wait is in its own queue and not at the member.
+#[gtest]
+fn a_replica_with_a_queue_loses_reads_to_one_without() {
+    struct QueueCase {
+        name: &'static str,
+        waiting: u32,
+        limit: u32,
+        expected: &'static str,
+    }
+    let case = |name, waiting, limit, expected| QueueCase {
+        name,
+        waiting,
+        limit,
+        expected,
+    };
+    let cases = [
+        case("no queue", 0, 1, "b"),
+        case("two wait for one place", 2, 1, "c"),
+        case("two wait for six places", 2, 6, "b"),
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut group = group_of_three(now);
+        answer_primary(&mut group, 1, 7, now);
+        let near = group.find("b").unwrap();
+        group.members[near].waiting = case.waiting;
+        group.members[near].in_flight_limit = case.limit;
+        let read = read_of(BOUNDED, now);
+        let choice = choose_read(&group, &read, &located_in("dc-2"), now);
+        let expected = group.find(case.expected);
+        expect_that!(member_of(choice), eq(expected), "{}", case.name);
+    }
+}
+
+/// Load pattern: more work than all members can do by the deadlines. Guards against a
+/// statement that is held until its deadline although every queue has refused it.
+#[gtest]
+fn a_statement_that_the_queues_refuse_waits_at_most_once() {
+    let mut refusals = QueueRefusals::default();
+    let waits: Vec<bool> = (0..3).map(|_| refusals.may_wait()).collect();
+    expect_that!(waits, eq(&[true, true, true]));
+    refusals.record();
+    let waits: Vec<bool> = (0..3).map(|_| refusals.may_wait()).collect();
+    expect_that!(waits, eq(&[true, false, false]));
+}
+
 #[gtest]
 fn a_slow_replica_loses_reads() {
     let now = Instant::now();
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -185,13 +185,14 @@
 
     fn apply_limits(&self) {
         let (share, hosts) = self.limits();
-        let group = self.lock();
+        let mut group = self.lock();
         let pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         for (key, pool) in &*pools {
             pool.set_share(share);
-            if let Some(member) = group.members.get(key) {
+            if let Some(member) = group.members.get_mut(key) {
                 let limit = in_flight_limit(member.server.slots, hosts);
-                pool.gate().set_in_flight_limit(limit);
+                member.in_flight_limit = limit;
+                pool.gate().set_in_flight_limit(limit as usize);
             }
         }
     }
@@ -205,15 +206,17 @@
     /// Returns the pool of a member, and creates it if it does not exist. Returns
     /// `None` if the member has left the group.
     pub(crate) fn pool(&self, key: MemberKey) -> Option<ConnectionPool<K>> {
-        let group = self.lock();
-        let member = group.members.get(key)?;
+        let mut group = self.lock();
+        let member = group.members.get_mut(key)?;
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(pool) = pools.get(key) {
             return Some(pool.clone());
         }
         let (share, hosts) = self.limits();
+        let limit = in_flight_limit(member.server.slots, hosts);
+        member.in_flight_limit = limit;
         let gate = AdmissionGate::new(AdmissionSettings {
-            in_flight_limit: in_flight_limit(member.server.slots, hosts),
+            in_flight_limit: limit as usize,
             queue_length: QUEUE_LENGTH,
             initial_service: INITIAL_SERVICE,
         });
@@ -407,6 +410,6 @@
 }
 
 /// Returns how many statements this host may have in flight at a member.
-fn in_flight_limit(slots: u32, hosts: u32) -> usize {
-    (slots * IN_FLIGHT_PER_SLOT).div_ceil(hosts.max(1)).max(1) as usize
+fn in_flight_limit(slots: u32, hosts: u32) -> u32 {
+    (slots * IN_FLIGHT_PER_SLOT).div_ceil(hosts.max(1)).max(1)
 }
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -7,8 +7,9 @@
 use coordination::admission::{AdmissionRefusal, AdmissionRequest};
 use coordination::managed::dispatch::{
     choose_primary, choose_read, may_await_primary, ChoiceFailure, HostLocation, MemberChoice,
-    RequestedRead,
+    QueueRefusals, RequestedRead,
 };
+use coordination::managed::group::ManagedMember;
 use coordination::retry::{ErrorClass, FailedAttempt, RetryDecision, RetryKind, SendProgress};
 use protocol::result_code::ResultCode;
 use protocol::statement::{ForwardBody, MemberRefusal, MemberStatement};
@@ -42,6 +43,8 @@
     error: ErrorClass,
     code: ResultCode,
     detail: String,
+    /// Whether this host's queue for the member refused the statement.
+    is_queue_refusal: bool,
 }
 
 impl AttemptFailure {
@@ -53,6 +56,7 @@
             error: ErrorClass::ConnectFailed,
             code,
             detail: detail.to_owned(),
+            is_queue_refusal: false,
         }
     }
 
@@ -69,6 +73,7 @@
             error,
             code,
             detail: detail.to_owned(),
+            is_queue_refusal: false,
         }
     }
 }
@@ -84,6 +89,7 @@
     /// Repeats the statement until it is answered or may not be repeated.
     pub(super) async fn run(&self) -> Result<PlacedAnswer<K>> {
         let mut tried = Vec::new();
+        let mut refusals = QueueRefusals::default();
         let mut attempts = 0;
         self.context.retries().count_request(Instant::now());
         loop {
@@ -93,6 +99,9 @@
                 Ok(placed) => return Ok(PlacedAnswer { attempts, ..placed }),
                 Err(failed) => failed,
             };
+            if failed.is_queue_refusal {
+                refusals.record();
+            }
             match self.decide_retry(&failed, attempts) {
                 RetryDecision::Retry { delay } => {
                     self.log_retry(&failed, attempts);
@@ -101,6 +110,10 @@
                 RetryDecision::AwaitRoute if !self.may_wait(&failed) => {
                     return Err(StatementFailure::new(failed.code, &failed.detail));
                 }
+                RetryDecision::AwaitRoute if !refusals.may_wait() => {
+                    let detail = "no member can run it by the deadline; retry in 500 ms";
+                    return Err(StatementFailure::new(ResultCode::DeadlineTooShort, detail));
+                }
                 RetryDecision::AwaitRoute => {
                     tried.clear();
                     let recheck = Instant::now() + ROUTE_RECHECK;
@@ -209,19 +222,21 @@
                 "the member has left",
             ));
         };
-        let mut permit = pool
-            .gate()
-            .enter(&self.admission())
-            .await
-            .map_err(|refusal| {
-                tried.push(member);
-                let code = match refusal {
-                    AdmissionRefusal::QueueFull => ResultCode::QueueFull,
-                    AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
-                };
-                AttemptFailure::not_sent(code, "the member's queue")
-            })?;
-        let _in_flight = InFlightGuard::enter(self.group, member);
+        let waiting = MemberCount::enter(self.group, member, MemberCounter::Waiting);
+        let entered = pool.gate().enter(&self.admission()).await;
+        drop(waiting);
+        let mut permit = entered.map_err(|refusal| {
+            tried.push(member);
+            let code = match refusal {
+                AdmissionRefusal::QueueFull => ResultCode::QueueFull,
+                AdmissionRefusal::DeadlineTooShort => ResultCode::DeadlineTooShort,
+            };
+            AttemptFailure {
+                is_queue_refusal: true,
+                ..AttemptFailure::not_sent(code, "the member's queue")
+            }
+        })?;
+        let _in_flight = MemberCount::enter(self.group, member, MemberCounter::InFlight);
         let mut connection = self.check_out(&pool, member, tried).await?;
         self.prepare(&mut connection, member, since, tried).await?;
         let answer = self.exchange(&mut connection, member, since, tried).await?;
@@ -524,28 +539,56 @@
     }
 }
 
-/// Counts a statement as in flight at a member until the guard is dropped.
-pub(super) struct InFlightGuard<'a, K: StatementCodec, C: MonotonicClock> {
+/// What a statement counts as at a member.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum MemberCounter {
+    /// It waits in this host's queue.
+    Waiting,
+    /// It was sent, or is about to be, and has no answer yet.
+    InFlight,
+}
+
+impl MemberCounter {
+    fn of(self, member: &mut ManagedMember) -> &mut u32 {
+        match self {
+            Self::Waiting => &mut member.waiting,
+            Self::InFlight => &mut member.in_flight,
+        }
+    }
+}
+
+/// Counts a statement at a member until the guard is dropped.
+pub(super) struct MemberCount<'a, K: StatementCodec, C: MonotonicClock> {
     group: &'a Arc<GroupRuntime<K, C>>,
     member: MemberKey,
+    counter: MemberCounter,
 }
 
-impl<'a, K: StatementCodec, C: MonotonicClock> InFlightGuard<'a, K, C> {
-    pub(super) fn enter(group: &'a Arc<GroupRuntime<K, C>>, member: MemberKey) -> Self {
+impl<'a, K: StatementCodec, C: MonotonicClock> MemberCount<'a, K, C> {
+    pub(super) fn enter(
+        group: &'a Arc<GroupRuntime<K, C>>,
+        member: MemberKey,
+        counter: MemberCounter,
+    ) -> Self {
         group.with(|group| {
             if let Some(member) = group.members.get_mut(member) {
-                member.in_flight += 1;
+                *counter.of(member) += 1;
             }
         });
-        Self { group, member }
+        Self {
+            group,
+            member,
+            counter,
+        }
     }
 }
 
-impl<K: StatementCodec, C: MonotonicClock> Drop for InFlightGuard<'_, K, C> {
+impl<K: StatementCodec, C: MonotonicClock> Drop for MemberCount<'_, K, C> {
     fn drop(&mut self) {
         self.group.with(|group| {
             if let Some(member) = group.members.get_mut(self.member) {
-                member.in_flight = member.in_flight.saturating_sub(1);
+                let count = self.counter.of(member);
+                *count = count.saturating_sub(1);
             }
         });
     }
--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -16,7 +16,9 @@
 use super::context::HostContext;
 use super::group_runtime::GroupRuntime;
 use super::member_connection::{ConnectionSetup, MemberAnswer, MemberConnection};
-use super::statement::{ask, log_placed, outcome_label, InFlightGuard, StatementRunner};
+use super::statement::{
+    ask, log_placed, outcome_label, MemberCount, MemberCounter, StatementRunner,
+};
 use super::statement_request::{
     fail, Result, StatementBody, StatementFailure, StatementRequest, TransactionStart,
 };
@@ -155,7 +157,7 @@
             shape: body.shape(),
             begin: None,
         };
-        let _in_flight = InFlightGuard::enter(&self.group, *member);
+        let _in_flight = MemberCount::enter(&self.group, *member, MemberCounter::InFlight);
         prepare(connection, &setup, deadline).await?;
         let answer = ask_while_busy(connection, id, body, deadline).await?;
         let metrics = &context.metrics;
@@ -177,7 +179,7 @@
             return self.run(context, session, id, access, body).await;
         };
         let deadline = Instant::now() + self.route.statement_timeout;
-        let _in_flight = InFlightGuard::enter(&self.group, member);
+        let _in_flight = MemberCount::enter(&self.group, member, MemberCounter::InFlight);
         loop {
             let sent_at = self.group.send_instant();
             let asked = ask(&mut connection, id, None, StatementBody::Commit, deadline).await;
