Share watermarks and assurances of primaries between hosts

Change: with its readings a host passes on digests: up to which time of the store's clock the primary is assured and what its newest watermark covers. Both are statements about points in time that hold for every host; each conversion of clocks errs to the safe side. A host that another one serves asks the members itself only when digests are late or when an answer to its own statements failed (coordination::managed::probe).

The model of managed groups does not play digests yet.

--- a/crates/coordination/src/managed.rs
+++ b/crates/coordination/src/managed.rs
@@ -13,6 +13,7 @@
 pub mod group;
 pub mod presence;
 pub mod primary_view;
+pub mod probe;
 pub mod promotion_lease;
 pub mod reader;
 pub mod store_clock;
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use state::keys::MemberKey;
 use state::log::LogPosition;
+use state::reading::{GroupDigest, WatermarkDigest};
 use state::server_list::{ListedServer, ServerState};
 
 use crate::managed::primary_view::{GroupRow, PrimaryEvent, PrimaryView};
@@ -269,6 +270,56 @@
         }
     }
 
+    /// Returns what other hosts may know of the group's primary. `store_time` converts
+    /// an instant to a time that the store's clock showed then or earlier.
+    pub fn digest(
+        &self,
+        name: &str,
+        store_time: impl Fn(Instant) -> Option<Duration>,
+    ) -> Option<GroupDigest> {
+        let (primary, term) = self.primary_view.primary()?;
+        let newest = self.watermark_history.watermarks().last();
+        Some(GroupDigest {
+            group: name.to_owned(),
+            primary: primary.to_owned(),
+            term,
+            assured_until: self.primary_view.assured_until().and_then(&store_time),
+            watermark: newest.and_then(|watermark| {
+                Some(WatermarkDigest {
+                    asked_at: store_time(watermark.asked_at)?,
+                    position: watermark.position,
+                })
+            }),
+        })
+    }
+
+    /// Records what another host knows of the group's primary. A digest of another
+    /// primary or term says nothing here. `instant` converts a time of the store's
+    /// clock to an instant at or before it.
+    pub fn observe_digest(
+        &mut self,
+        digest: &GroupDigest,
+        instant: impl Fn(Duration) -> Option<Instant>,
+    ) {
+        let is_same = |row: &GroupRow| row.primary == digest.primary && row.term == digest.term;
+        if !self.primary_view.row().is_some_and(is_same) {
+            return;
+        }
+        if let Some(until) = digest.assured_until.and_then(&instant) {
+            let view = &mut self.primary_view;
+            view.observe_assurance(&digest.primary, digest.term, until);
+        }
+        let Some(watermark) = digest.watermark else {
+            return;
+        };
+        if let Some(asked_at) = instant(watermark.asked_at) {
+            self.watermark_history.push(GroupWatermark {
+                asked_at,
+                position: watermark.position,
+            });
+        }
+    }
+
     /// Records how long a member took to answer a statement.
     pub fn record_latency(&mut self, key: MemberKey, latency: Duration) {
         if let Some(member) = self.members.get_mut(key) {
--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -313,6 +313,15 @@
         }
     }
 
+    /// Records that another host knows the primary of `term` to be the only one up to
+    /// an instant.
+    pub fn observe_assurance(&mut self, primary: &str, term: Term, until: Instant) {
+        let is_same = |row: &GroupRow| row.primary == primary && row.term == term;
+        if self.row.as_ref().is_some_and(is_same) {
+            self.extend_assurance(until);
+        }
+    }
+
     fn record_successor(&mut self, member: &str, term: Term, now: Instant) {
         if self
             .successor
--- a/crates/coordination/src/managed/store_clock.rs
+++ b/crates/coordination/src/managed/store_clock.rs
@@ -42,10 +42,17 @@
         self.record(asked_at, store_time, Some((answered_at, store_time)));
     }
 
-    /// Records that the store's clock showed at most `store_time` at `instant`, as
-    /// another host derived it.
-    pub fn record_relayed(&mut self, instant: Instant, store_time: Duration) {
-        self.record(instant, store_time, None);
+    /// Records bounds that another host derived: the store's clock showed at most
+    /// `latest` at `asked_at`, and at least `earliest` at `answered_at`.
+    pub fn record_relayed(
+        &mut self,
+        asked_at: Instant,
+        latest: Duration,
+        answered_at: Instant,
+        earliest: Option<Duration>,
+    ) {
+        let earliest = earliest.map(|earliest| (answered_at, earliest));
+        self.record(asked_at, latest, earliest);
     }
 
     fn record(&mut self, instant: Instant, store_time: Duration, earliest: Option<ClockPair>) {
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use state::reading::{HostReport, LiveHost, PlanReading, ServerListReading, TableReading};
+use state::reading::{
+    GroupDigest, HostReport, LiveHost, PlanReading, ServerListReading, TableReading,
+};
 
 /// Identifies the newest readings that a host received from its reader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +24,8 @@
     pub plan: u64,
     /// Number of the newest list of live hosts.
     pub hosts: u64,
+    /// Number of the newest digests that are worth an answer of their own.
+    pub digests: u64,
 }
 
 /// A host's request for readings.
@@ -58,7 +62,12 @@
     pub known: KnownReadings,
     /// A time that the store's clock had not passed when the request arrived;
     /// `None` if the sender does not know one.
-    pub store_time: Option<Duration>,
+    pub latest_time: Option<Duration>,
+    /// A time that the store's clock had reached when the answer was sent; `None` if
+    /// the sender does not know one.
+    pub earliest_time: Option<Duration>,
+    /// What the sender knows of the groups' primaries.
+    pub digests: Vec<GroupDigest>,
     /// Rows of the groups.
     pub group_rows: Option<RelayedTable>,
     /// List of backend servers.
--- a/crates/state/src/reading.rs
+++ b/crates/state/src/reading.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::log::{LogPosition, Term};
 use crate::plan::RoutePlan;
 use crate::server_list::ListedServer;
 
@@ -103,3 +104,30 @@
     /// Address at which the host passes readings on.
     pub relay_address: SocketAddr,
 }
+
+/// What a host knows about the primary of a group, for hosts that did not ask the
+/// members themselves. Times are on the store's clock and never too late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct GroupDigest {
+    /// Name of the group.
+    pub group: String,
+    /// Identity of the primary.
+    pub primary: String,
+    /// Term of the primary.
+    pub term: Term,
+    /// Time up to which the primary is assured to be the only one.
+    pub assured_until: Option<Duration>,
+    /// The newest watermark.
+    pub watermark: Option<WatermarkDigest>,
+}
+
+/// A log position that covers every commit that was acknowledged before a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct WatermarkDigest {
+    /// Time before which the covered commits were acknowledged.
+    pub asked_at: Duration,
+    /// The log position.
+    pub position: LogPosition,
+}
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -7,6 +7,7 @@
 
 use coordination::managed::change::reason_to_change;
 use coordination::managed::primary_view::RoundReply;
+use coordination::managed::probe::{self, ProbeDuty};
 use futures::future::join_all;
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -16,6 +17,7 @@
 
 use super::change_driver::ChangeDriver;
 use super::codec::StatementCodec;
+use super::context::HostContext;
 use super::group_runtime::GroupRuntime;
 use super::host_platform::HostPlatform;
 
@@ -26,21 +28,16 @@
 /// the old connections within 3 s, and the freed share of connections should be
 /// usable soon after that.
 const POOL_MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time before the end of an assurance at which the members are asked to renew
-/// it.
-const ASSURANCE_RESERVE: Duration = Duration::from_millis(200);
-/// Age of the newest watermark from which on the primary is asked for its
-/// position. Routes tolerate a staleness of 1.5 s and more.
-const WATERMARK_AGE: Duration = Duration::from_millis(600);
 /// Time in which a member has to answer a status question.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Watches a group until the returned future is dropped.
 pub(super) async fn watch_group<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: Arc<HostContext<K, C>>,
     group: Arc<GroupRuntime<K, C>>,
-    clock: C,
     driver: ChangeDriver<P, K, C>,
 ) {
+    let clock = context.clock.clone();
     let mut maintained_at = clock.now();
     loop {
         sleep(WATCH_INTERVAL).await;
@@ -51,14 +48,12 @@
         }
         group.adopt_successor();
         group.with(|group| group.primary_view.update_change_times(now));
-        let needs_round = group.with(|group| {
-            group.primary_view.row().is_some()
-                && !group.primary_view.is_assured(now + ASSURANCE_RESERVE)
-        });
+        let duty = probe_duty(&context);
+        let needs_round = group.with(|group| probe::needs_round(group, duty, now));
         if needs_round {
-            ask_round(&group, &clock).await;
+            ask_round(&context, &group).await;
         }
-        probe_primary(&group, &clock).await;
+        probe_primary(&context, &group, duty).await;
         let reason = group.with(|group| reason_to_change(group, clock.now()));
         if let Some(reason) = reason {
             driver.run(&group, reason).await;
@@ -66,9 +61,22 @@
     }
 }
 
+/// Returns which part of the questions to members falls to this host.
+fn probe_duty<K: StatementCodec, C: MonotonicClock>(context: &HostContext<K, C>) -> ProbeDuty {
+    match (context.relay.is_served(), context.relay.is_asked()) {
+        (true, _) => ProbeDuty::Served,
+        (false, true) => ProbeDuty::ForOthers,
+        (false, false) => ProbeDuty::Alone,
+    }
+}
+
 /// Asks every member except the primary for its role and term, so that the
 /// primary stays assured if none of them leads.
-async fn ask_round<K: StatementCodec, C: MonotonicClock>(group: &GroupRuntime<K, C>, clock: &C) {
+async fn ask_round<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    group: &GroupRuntime<K, C>,
+) {
+    let clock = &context.clock;
     let others: Vec<(MemberKey, String)> = group.with(|group| {
         let primary = group.primary_view.row().map(|row| row.primary.clone());
         let others = group.members.iter();
@@ -78,6 +86,8 @@
             .collect()
     });
     let asked_at = clock.now();
+    let metrics = &context.metrics;
+    metrics.count_status_questions("assurance", others.len());
     let questions = others
         .iter()
         .map(|(key, _)| group.ask_status(*key, ROUND_TIMEOUT));
@@ -97,23 +107,19 @@
     let now = clock.now();
     group.with(|group| group.primary_view.observe_round(&replies, asked_at, now));
     group.wake();
+    context.relay.offer_digests();
 }
 
 /// Asks the primary for its status if recent traffic did not show its position,
 /// or if its last answer failed.
 async fn probe_primary<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
     group: &GroupRuntime<K, C>,
-    clock: &C,
+    duty: ProbeDuty,
 ) {
-    let now = clock.now();
-    let primary = group.with(|group| {
-        let key = group.primary()?;
-        let newest = group.newest_watermark_at();
-        let is_old = newest.is_none_or(|at| now.saturating_duration_since(at) > WATERMARK_AGE);
-        let is_failing = group.members[key].contact.failures > 0;
-        (is_old || is_failing).then_some(key)
-    });
-    if let Some(key) = primary {
+    let now = context.clock.now();
+    if let Some(key) = group.with(|group| probe::primary_to_probe(group, duty, now)) {
+        context.metrics.count_status_questions("watermark", 1);
         // `ask_status` records the answer or the failure in the group.
         let _status = group.ask_status(key, ROUND_TIMEOUT).await;
     }
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -22,6 +22,7 @@
     plan_version: IntGauge,
     store_calls: IntCounterVec,
     store_failures: IntCounterVec,
+    status_questions: IntCounterVec,
     dropped_lines: IntCounter,
 }
 
@@ -59,6 +60,13 @@
                 ),
                 &["call"],
             )?,
+            status_questions: IntCounterVec::new(
+                Opts::new(
+                    "cassia_entry_status_questions_total",
+                    "Status questions to members by their reason.",
+                ),
+                &["reason"],
+            )?,
             store_failures: IntCounterVec::new(
                 Opts::new(
                     "cassia_entry_store_failures_total",
@@ -82,6 +90,7 @@
         registry.register(Box::new(self.plan_version.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.store_failures.clone()))?;
+        registry.register(Box::new(self.status_questions.clone()))?;
         registry.register(Box::new(self.dropped_lines.clone()))
     }
 
@@ -120,6 +129,12 @@
         self.store_calls.with_label_values(&[call]).inc();
     }
 
+    /// Counts status questions to members by their reason.
+    pub(crate) fn count_status_questions(&self, reason: &str, count: usize) {
+        let counter = self.status_questions.with_label_values(&[reason]);
+        counter.inc_by(count as u64);
+    }
+
     /// Counts a failed call to the store.
     pub(crate) fn count_store_failure(&self, call: &str) {
         self.store_failures.with_label_values(&[call]).inc();
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -34,6 +34,11 @@
 /// The same limit for the server list and the plan, which are read less often.
 const LIST_AND_PLAN_MAX_AGE: Duration = Duration::from_millis(3_000);
 
+/// Shortest time between two answers that are sent only for their digests.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Age of the last answer or request up to which two hosts count as connected.
+const SERVED_MAX_AGE: Duration = Duration::from_millis(1_000);
+
 /// What a reading holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ReadingKind {
@@ -68,6 +73,11 @@
     own: OwnReadings,
     /// The groups' rows that the reader sent last.
     relayed_rows: Vec<StoredRow>,
+    /// When the reader last answered.
+    answered_at: Option<Instant>,
+    /// When another host last asked for readings.
+    asked_at: Option<Instant>,
+    digests_offered_at: Option<Instant>,
     /// Instants at which the last relayed reading of each kind arrived.
     group_rows_at: Option<Instant>,
     server_list_at: Option<Instant>,
@@ -117,6 +127,9 @@
                 is_started: false,
                 own,
                 relayed_rows: Vec::new(),
+                answered_at: None,
+                asked_at: None,
+                digests_offered_at: None,
                 group_rows_at: None,
                 server_list_at: None,
                 plan_at: None,
@@ -271,11 +284,42 @@
         self.signal();
     }
 
+    /// Answers other hosts soon because an assurance was renewed without the store.
+    pub(super) fn offer_digests(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let offered_at = state.digests_offered_at.replace(now);
+        if offered_at.is_some_and(|at| now.saturating_duration_since(at) < DIGEST_INTERVAL) {
+            state.digests_offered_at = offered_at;
+            return;
+        }
+        state.own.known.digests += 1;
+        drop(state);
+        self.signal();
+    }
+
+    /// Returns whether another host passes readings and digests on to this one.
+    pub(super) fn is_served(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let answered_at = state.answered_at;
+        state.choice.reader(now).is_some()
+            && answered_at.is_some_and(|at| now.saturating_duration_since(at) < SERVED_MAX_AGE)
+    }
+
+    /// Returns whether other hosts fetch readings from this one.
+    pub(super) fn is_asked(&self) -> bool {
+        let now = self.clock.now();
+        let asked_at = self.lock().asked_at;
+        asked_at.is_some_and(|at| now.saturating_duration_since(at) < SERVED_MAX_AGE)
+    }
+
     /// Records the reports of a request. Returns a time that the store's clock has
     /// not passed yet.
     fn record_request(&self, request: &ReadingsRequest) -> Option<Duration> {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.asked_at = Some(now);
         let listed: HashSet<&str> = state
             .own
             .hosts
@@ -313,7 +357,9 @@
         });
         let reply = RelayedReadings {
             known: own.known,
-            store_time: None,
+            latest_time: None,
+            earliest_time: None,
+            digests: Vec::new(),
             group_rows: group_rows.filter(|_| is_new(own.known.group_rows, known.group_rows)),
             server_list: own
                 .server_list
@@ -328,7 +374,8 @@
         let has_any = reply.group_rows.is_some()
             || reply.server_list.is_some()
             || reply.plan.is_some()
-            || reply.hosts.is_some();
+            || reply.hosts.is_some()
+            || is_new(own.known.digests, known.digests);
         has_any.then_some(reply)
     }
 }
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -55,8 +55,9 @@
         };
         match rpc.call(CALL_WAIT, call).await {
             Ok(readings) => {
+                let known_digests = known.digests;
                 known = readings.known;
-                apply(&context, &readings, asked_at);
+                apply(&context, &readings, known_digests, asked_at);
                 if readings.group_rows.is_some() {
                     hub.lock().choice.record_success(&reader.name);
                 }
@@ -89,16 +90,20 @@
 }
 
 /// Applies relayed readings of a request that was sent at `asked_at`, and offers
-/// them to other hosts. A reading is skipped if its age is unknown.
+/// them to other hosts. `known_digests` is the number of the digests before. A reading is skipped if its age is unknown.
 fn apply<K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
     readings: &RelayedReadings,
+    known_digests: u64,
     asked_at: Instant,
 ) {
     let hub = &context.relay;
     let now = hub.clock.now();
-    if let Some(store_time) = readings.store_time {
-        hub.lock().store_clock.record_relayed(asked_at, store_time);
+    hub.lock().answered_at = Some(now);
+    if let Some(latest) = readings.latest_time {
+        let mut state = hub.lock();
+        let clock = &mut state.store_clock;
+        clock.record_relayed(asked_at, latest, now, readings.earliest_time);
     }
     if let Some(hosts) = &readings.hosts {
         context.apply_hosts(hosts);
@@ -122,6 +127,14 @@
             hub.offer_plan(reading);
         }
     }
+    // The digests refer to the primaries of the rows above.
+    let store_clock = hub.lock().store_clock;
+    for digest in &readings.digests {
+        let group = context.group(&digest.group);
+        group.with(|state| state.observe_digest(digest, |time| store_clock.instant_of(time)));
+        group.wake();
+    }
+    hub.offer_relayed_digests(known_digests, readings.known.digests);
 }
 
 impl<C: MonotonicClock> RelayHub<C> {
@@ -147,6 +160,18 @@
         log::info!(host = reader; "reading host has no new reading");
     }
 
+    /// Passes digests on that the reader sent for their own sake.
+    fn offer_relayed_digests(&self, known: u64, newest: u64) {
+        if newest > known {
+            self.offer_digests();
+        }
+    }
+
+    pub(super) fn earliest_time(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.lock().store_clock.earliest_time_at(now)
+    }
+
     fn instant_of(&self, store_time: Duration) -> Option<Instant> {
         self.lock().store_clock.instant_of(store_time)
     }
--- a/crates/transport/src/managed/relay/service.rs
+++ b/crates/transport/src/managed/relay/service.rs
@@ -6,12 +6,15 @@
 use futures::StreamExt;
 use protocol::relay::{ReadingsRequest, RelayService, RelayedReadings};
 use state::clock::MonotonicClock;
+use state::reading::GroupDigest;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-use super::{RelayHub, CALL_WAIT, FRAME_LIMIT_BYTES};
+use super::{CALL_WAIT, FRAME_LIMIT_BYTES};
+use crate::managed::codec::StatementCodec;
+use crate::managed::context::HostContext;
 use crate::rpc::{frame_stream, ControlMeter, MeteredStream};
 
 /// Pause after `accept` failed, for example because the process is out of file
@@ -19,18 +22,19 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 #[derive(Debug)]
-struct RelayServer<C>(Arc<RelayHub<C>>);
+struct RelayServer<K: StatementCodec, C>(Arc<HostContext<K, C>>);
 
-impl<C> Clone for RelayServer<C> {
+impl<K: StatementCodec, C> Clone for RelayServer<K, C> {
     fn clone(&self) -> Self {
         Self(self.0.clone())
     }
 }
 
-impl<C: MonotonicClock> RelayService for RelayServer<C> {
+impl<K: StatementCodec, C: MonotonicClock> RelayService for RelayServer<K, C> {
     async fn next_readings(self, _: Context, request: ReadingsRequest) -> RelayedReadings {
-        let hub = self.0;
-        let store_time = hub.record_request(&request);
+        let context = self.0;
+        let hub = &context.relay;
+        let latest_time = hub.record_request(&request);
         let known = request.known;
         let mut changes = hub.changed.subscribe();
         let wait = async {
@@ -47,17 +51,32 @@
             known,
             ..RelayedReadings::default()
         };
+        let readings = timeout(CALL_WAIT, wait).await.unwrap_or(nothing_new);
         RelayedReadings {
-            store_time,
-            ..timeout(CALL_WAIT, wait).await.unwrap_or(nothing_new)
+            latest_time,
+            earliest_time: hub.earliest_time(),
+            digests: digests(&context),
+            ..readings
         }
     }
 }
 
+/// Returns what this host knows of the groups' primaries.
+fn digests<K: StatementCodec, C: MonotonicClock>(context: &HostContext<K, C>) -> Vec<GroupDigest> {
+    let store_clock = context.relay.lock().store_clock;
+    let groups = context.groups();
+    let digests = groups.iter().filter_map(|group| {
+        group.with(|state| {
+            state.digest(&group.name, |instant| store_clock.earliest_time_at(instant))
+        })
+    });
+    digests.collect()
+}
+
 /// Answers the other hosts' requests until the returned future is dropped.
-pub(in crate::managed) async fn serve_relay<C: MonotonicClock>(
+pub(in crate::managed) async fn serve_relay<K: StatementCodec, C: MonotonicClock>(
     listener: TcpListener,
-    hub: Arc<RelayHub<C>>,
+    context: Arc<HostContext<K, C>>,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -71,7 +90,7 @@
                 continue;
             }
         };
-        let server = RelayServer(hub.clone());
+        let server = RelayServer(context.clone());
         tokio::spawn(async move {
             let metered = MeteredStream::new(stream, ControlMeter::default());
             let channel = BaseChannel::with_defaults(frame_stream(metered, FRAME_LIMIT_BYTES));
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -83,7 +83,7 @@
         tasks.spawn(follow_server_list(context.clone(), platform.clone()));
         tasks.spawn(follow_hosts(context.clone(), platform.clone()));
         tasks.spawn(watch_groups(context.clone(), platform));
-        tasks.spawn(serve_relay(relay, context.relay.clone()));
+        tasks.spawn(serve_relay(relay, context.clone()));
         tasks.spawn(follow_reader(context.clone()));
         tasks.spawn(serve_metrics(context.clone(), metrics));
         tasks.spawn(accept_callers(context.clone(), callers));
@@ -153,7 +153,7 @@
     loop {
         for group in context.groups() {
             if watched.insert(group.name.clone()) {
-                watches.spawn(watch_group(group, clock.clone(), driver.clone()));
+                watches.spawn(watch_group(context.clone(), group, driver.clone()));
             }
         }
         sleep(GROUP_INTERVAL).await;
