Let a host that loses several readers read the store itself

A partition separated most hosts of the data centre from the others and from the store. The hosts on the other side asked one unreachable host after another, 850 ms each, waited 400 ms for each new one, and read the plan themselves only by a chance of 3 in 20 every 1.8 s (log of: five hosts got the plan at 9.8 to 10.2 s, it was written at 3.9 s).

Change: a host that lost two readers without an answer, or whose reading is 1.5 s overdue, reads the store in any case. Readers that answer without readings still leave the store to a few hosts.

The new test fails without the rule.

--- a/crates/coordination/src/managed/reader.rs
+++ b/crates/coordination/src/managed/reader.rs
@@ -31,6 +31,30 @@
 /// reader answers without readings, which it does when it cannot reach the store.
 const FALLBACK_READERS: f64 = 3.0;
 
+/// Readers without an answer from which on a host relies on no other host: more than
+/// one of them hardly fails at the same time, but a partition cuts many off.
+const LOST_READERS: usize = 2;
+
+/// How a reader failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReaderFailure {
+    /// It did not answer.
+    Lost,
+    /// It answered, but had no new reading in time.
+    Late,
+}
+
+/// Age of the last reading that came from a reader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingAge {
+    /// The next one is not due yet.
+    Recent,
+    /// The next one should have come.
+    Late,
+    /// So old that this host reads the store in any case.
+    Overdue,
+}
+
 /// Where a host gets a reading from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadingSource {
@@ -44,7 +68,8 @@
 
 /// Failures of a reader since its last new reading.
 #[derive(Clone, Copy, Debug)]
-struct ReaderFailure {
+struct FailedReader {
+    failure: ReaderFailure,
     count: u32,
     retry_at: Instant,
 }
@@ -58,7 +83,7 @@
     /// Number of live hosts in the data centre, this one included.
     local_hosts: usize,
     /// Readers that did not answer.
-    failed: HashMap<String, ReaderFailure>,
+    failed: HashMap<String, FailedReader>,
     /// The reader that was chosen last and since when.
     chosen: Option<(String, Instant)>,
 }
@@ -98,13 +123,19 @@
         self.candidates = candidates;
     }
 
-    /// Records that a reader did not answer or had no new reading in time.
-    pub fn record_failure(&mut self, name: &str, now: Instant) {
-        let count = self.failed.get(name).map_or(1, |failure| failure.count + 1);
+    /// Records that a reader failed.
+    pub fn record_failure(&mut self, name: &str, failure: ReaderFailure, now: Instant) {
+        let count = self.failed.get(name).map_or(1, |reader| reader.count + 1);
         let doubled = FAILED_PAUSE.saturating_mul(1 << (count - 1).min(8));
         let retry_at = now + doubled.min(FAILED_PAUSE_MAX);
-        self.failed
-            .insert(name.to_owned(), ReaderFailure { count, retry_at });
+        self.failed.insert(
+            name.to_owned(),
+            FailedReader {
+                failure,
+                count,
+                retry_at,
+            },
+        );
     }
 
     /// Records that a reader passed a new reading on.
@@ -115,8 +146,8 @@
     /// Returns the host to ask, or `None` if this host has to read the store.
     pub fn reader(&self, now: Instant) -> Option<&LiveHost> {
         self.candidates.iter().find(|host| {
-            let failure = self.failed.get(&host.name);
-            failure.is_none_or(|failure| now >= failure.retry_at)
+            let failed = self.failed.get(&host.name);
+            failed.is_none_or(|reader| now >= reader.retry_at)
         })
     }
 
@@ -133,16 +164,22 @@
         (known == name).then_some(*at)
     }
 
-    /// Returns where a reading comes from. `is_recent` tells whether a recent one
-    /// came from the reader, and `chance` is a random fraction below 1.
-    pub fn source(&self, is_recent: bool, chance: f64, now: Instant) -> ReadingSource {
+    /// Returns where a reading comes from. `age` is that of the last one that came from
+    /// a reader, and `chance` a random fraction below 1.
+    pub fn source(&self, age: ReadingAge, chance: f64, now: Instant) -> ReadingSource {
         let Some(reader) = self.reader(now) else {
             return ReadingSource::Store;
         };
+        if age == ReadingAge::Recent {
+            return ReadingSource::Reader;
+        }
+        if age == ReadingAge::Overdue || self.lost_readers() >= LOST_READERS {
+            return ReadingSource::Store;
+        }
         let is_joining = self.chosen.as_ref().is_none_or(|(name, at)| {
             *name != reader.name || now.saturating_duration_since(*at) < JOIN_WAIT
         });
-        if is_recent || is_joining {
+        if is_joining {
             return ReadingSource::Reader;
         }
         if chance * (self.local_hosts as f64) < FALLBACK_READERS {
@@ -150,6 +187,13 @@
         }
         ReadingSource::Skip
     }
+
+    fn lost_readers(&self) -> usize {
+        let failed = self.failed.values();
+        failed
+            .filter(|reader| reader.failure == ReaderFailure::Lost)
+            .count()
+    }
 }
 
 /// Returns the ranks above `rank` in the tree, the nearest first.
--- a/crates/coordination/tests/managed_relay.rs
+++ b/crates/coordination/tests/managed_relay.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use coordination::managed::reader::{ReaderChoice, ReadingSource, FAN_OUT};
+use coordination::managed::reader::{
+    ReaderChoice, ReaderFailure, ReadingAge, ReadingSource, FAN_OUT,
+};
 use coordination::managed::store_clock::StoreClock;
 use googletest::prelude::*;
 use managed_support::{announcement, group_of_three, group_row, ms};
@@ -131,7 +133,7 @@
     let fail = |own: &str, readers: &[&str]| {
         let mut choice = choice_of(own, "a", &live);
         for reader in readers {
-            choice.record_failure(reader, now);
+            choice.record_failure(reader, ReaderFailure::Late, now);
         }
         reader_of(&choice, now).map(str::to_owned)
     };
@@ -142,14 +144,14 @@
     expect_that!(fail("edge-4", &["edge-1", "edge-2", "edge-3"]), none());
 
     let mut choice = choice_of("edge-2", "a", &live);
-    choice.record_failure("edge-1", now);
+    choice.record_failure("edge-1", ReaderFailure::Lost, now);
     expect_that!(reader_of(&choice, now + ms(2_999)), none());
     expect_that!(reader_of(&choice, now + ms(3_000)), some(eq("edge-1")));
-    choice.record_failure("edge-1", now + ms(3_850));
+    choice.record_failure("edge-1", ReaderFailure::Lost, now + ms(3_850));
     expect_that!(reader_of(&choice, now + ms(9_849)), none());
     expect_that!(reader_of(&choice, now + ms(9_850)), some(eq("edge-1")));
     choice.record_success("edge-1");
-    choice.record_failure("edge-1", now + ms(20_000));
+    choice.record_failure("edge-1", ReaderFailure::Lost, now + ms(20_000));
     expect_that!(reader_of(&choice, now + ms(23_000)), some(eq("edge-1")));
 }
 
@@ -162,15 +164,15 @@
         name: &'static str,
         hosts: usize,
         waited: Duration,
-        is_recent: bool,
+        age: ReadingAge,
         chance: f64,
         expected: ReadingSource,
     }
-    let case = |name, hosts, waited, is_recent, chance, expected| SourceCase {
+    let case = |name, hosts, waited, age, chance, expected| SourceCase {
         name,
         hosts,
         waited,
-        is_recent,
+        age,
         chance,
         expected,
     };
@@ -179,7 +181,7 @@
             "the reader delivers",
             20,
             ms(5_000),
-            true,
+            ReadingAge::Recent,
             0.0,
             ReadingSource::Reader,
         ),
@@ -187,7 +189,7 @@
             "the reader was just chosen",
             20,
             ms(399),
-            false,
+            ReadingAge::Late,
             0.0,
             ReadingSource::Reader,
         ),
@@ -195,7 +197,7 @@
             "late, drawn",
             20,
             ms(400),
-            false,
+            ReadingAge::Late,
             0.14,
             ReadingSource::Store,
         ),
@@ -203,15 +205,23 @@
             "late, not drawn",
             20,
             ms(400),
-            false,
+            ReadingAge::Late,
             0.15,
             ReadingSource::Skip,
         ),
+        case(
+            "overdue",
+            20,
+            ms(100),
+            ReadingAge::Overdue,
+            0.99,
+            ReadingSource::Store,
+        ),
         case(
             "late, few hosts",
             3,
             ms(400),
-            false,
+            ReadingAge::Late,
             0.99,
             ReadingSource::Store,
         ),
@@ -224,16 +234,65 @@
         let mut choice = choice_of("edge-01", "a", &hosts(&entries));
         let now = Instant::now();
         choice.record_chosen("edge-00", now);
-        let source = choice.source(case.is_recent, case.chance, now + case.waited);
+        let source = choice.source(case.age, case.chance, now + case.waited);
         expect_that!(source, eq(case.expected), "{}", case.name);
     }
     let alone = ReaderChoice::new("edge-1");
     expect_that!(
-        alone.source(true, 0.9, Instant::now()),
+        alone.source(ReadingAge::Recent, 0.9, Instant::now()),
         eq(ReadingSource::Store)
     );
 }
 
+/// Load pattern: a partition separates most hosts of a data centre from the others and
+/// from the store. Guards against a host on the other side that asks one unreachable
+/// host after another, while it could read the store: a route that the operators had
+/// removed was in use for longer than 6 s.
+#[gtest]
+fn a_host_that_loses_several_readers_reads_itself() {
+    struct LossCase {
+        name: &'static str,
+        failures: &'static [(&'static str, ReaderFailure)],
+        expected: ReadingSource,
+    }
+    let case = |name, failures, expected| LossCase {
+        name,
+        failures,
+        expected,
+    };
+    const LOST: ReaderFailure = ReaderFailure::Lost;
+    const LATE: ReaderFailure = ReaderFailure::Late;
+    let names: Vec<String> = (0..20).map(|index| format!("edge-{index:02}")).collect();
+    let entries: Vec<(&str, &str)> = names.iter().map(|name| ("a", name.as_str())).collect();
+    let cases: [LossCase; 3] = [
+        case("one lost", &[("edge-00", LOST)], ReadingSource::Reader),
+        case(
+            "two lost",
+            &[("edge-00", LOST), ("edge-01", LOST)],
+            ReadingSource::Store,
+        ),
+        case(
+            "one lost, one without readings",
+            &[("edge-00", LATE), ("edge-01", LOST)],
+            ReadingSource::Reader,
+        ),
+    ];
+    for case in cases {
+        let mut choice = choice_of("edge-13", "a", &hosts(&entries));
+        let now = Instant::now();
+        for (reader, failure) in case.failures {
+            choice.record_failure(reader, *failure, now);
+        }
+        let reader = reader_of(&choice, now).unwrap().to_owned();
+        choice.record_chosen(&reader, now);
+        let source = choice.source(ReadingAge::Late, 0.99, now + ms(100));
+        expect_that!(source, eq(case.expected), "{}", case.name);
+        // The lost readers count until they answer again.
+        let recent = choice.source(ReadingAge::Recent, 0.99, now + ms(100));
+        expect_that!(recent, eq(ReadingSource::Reader), "{}", case.name);
+    }
+}
+
 /// Guards against an assurance that lasts too long on a host that received the
 /// reading from another host: the derived instant must not be after the true one.
 #[gtest]
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use coordination::managed::presence::{PresenceKeeper, PresenceRow};
-use coordination::managed::reader::{ReaderChoice, ReadingSource};
+use coordination::managed::reader::{ReaderChoice, ReadingAge, ReadingSource};
 use coordination::managed::store_clock::StoreClock;
 use protocol::relay::{KnownReadings, ReadingsRequest, RelayedReadings, RelayedTable};
 use state::clock::MonotonicClock;
@@ -34,6 +34,8 @@
 /// The same limit for the server list and the plan, which are read less often.
 const LIST_AND_PLAN_MAX_AGE: Duration = Duration::from_millis(3_000);
 
+/// Time after these ages at which the host reads the store in any case.
+const OVERDUE_AFTER: Duration = Duration::from_millis(1_500);
 /// Shortest time between two answers that are sent only for their digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of the last answer or request up to which two hosts count as connected.
@@ -67,9 +69,9 @@
     choice: ReaderChoice,
     presence: PresenceKeeper,
     store_clock: StoreClock,
-    /// Whether the host has tried to read the live hosts. Until then it does not
-    /// know whether another host reads the store.
-    is_started: bool,
+    /// When the host first tried to read the live hosts. Until then it does not know
+    /// whether another host reads the store.
+    started_at: Option<Instant>,
     own: OwnReadings,
     /// The groups' rows that the reader sent last.
     relayed_rows: Vec<StoredRow>,
@@ -124,7 +126,7 @@
                 choice: ReaderChoice::new(&settings.host),
                 presence: PresenceKeeper::new(report),
                 store_clock: StoreClock::default(),
-                is_started: false,
+                started_at: None,
                 own,
                 relayed_rows: Vec::new(),
                 answered_at: None,
@@ -151,7 +153,7 @@
     pub(super) fn source(&self, kind: ReadingKind) -> ReadingSource {
         let now = self.clock.now();
         let state = self.lock();
-        if !state.is_started {
+        if state.started_at.is_none() {
             return ReadingSource::Reader;
         }
         let (arrived_at, max_age) = match kind {
@@ -159,15 +161,24 @@
             ReadingKind::ServerList => (state.server_list_at, LIST_AND_PLAN_MAX_AGE),
             ReadingKind::Plan => (state.plan_at, LIST_AND_PLAN_MAX_AGE),
         };
-        let is_recent =
-            arrived_at.is_some_and(|instant| now.saturating_duration_since(instant) < max_age);
+        let elapsed = arrived_at
+            .or(state.started_at)
+            .map_or(Duration::ZERO, |instant| {
+                now.saturating_duration_since(instant)
+            });
+        let age = match elapsed {
+            elapsed if arrived_at.is_some() && elapsed < max_age => ReadingAge::Recent,
+            elapsed if elapsed < max_age + OVERDUE_AFTER => ReadingAge::Late,
+            _ => ReadingAge::Overdue,
+        };
         let chance = rand::random_range(0.0..1.0);
-        state.choice.source(is_recent, chance, now)
+        state.choice.source(age, chance, now)
     }
 
     /// Records that the host has tried to read the live hosts.
     pub(super) fn record_start(&self) {
-        self.lock().is_started = true;
+        let now = self.clock.now();
+        self.lock().started_at.get_or_insert(now);
         self.hosts_changed.notify_waiters();
     }
 
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coordination::managed::reader::ReaderFailure;
 use protocol::relay::{
     KnownReadings, ReadingsRequest, RelayServiceClient, RelayedReadings, RelayedTable,
 };
@@ -68,7 +69,8 @@
                 let (host, reason) = (reader.name.as_str(), error.to_string());
                 log::warn!(host, reason = reason.as_str(); "reading host lost");
                 let now = hub.clock.now();
-                hub.lock().choice.record_failure(&reader.name, now);
+                let failure = ReaderFailure::Lost;
+                hub.lock().choice.record_failure(&reader.name, failure, now);
             }
         }
     }
@@ -155,7 +157,9 @@
         if last.is_none_or(|at| now.saturating_duration_since(at) < LATE_READING) {
             return;
         }
-        state.choice.record_failure(reader, now);
+        state
+            .choice
+            .record_failure(reader, ReaderFailure::Late, now);
         drop(state);
         log::info!(host = reader; "reading host has no new reading");
     }
