--- a/crates/coordination/tests/managed_digest.rs
+++ b/crates/coordination/tests/managed_digest.rs
@@ -30,7 +30,7 @@
 }
 
 /// Guards against a read that misses a commit, or an answer of a superseded primary,
-/// because a host believes a digest for longer than its sender does.
+/// because a host uses a digest for longer than its sender would.
 #[gtest]
 fn a_digest_never_says_more_than_its_sender_knows() {
     let start = Instant::now();
