Log the store's era and both revisions of a refused write

The logs did not tell a lost history from a rival writer. Now a line names the former and the new era, a refused write names the revision in its condition and the row in the store, and two metrics count both. No decision changed.

--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -337,7 +337,7 @@
             ..former.clone()
         };
         self.pending_row = Some(former.clone());
-        let expected_revision = group.primary_view.revision();
+        let expected_revision = group.primary_view.revision().number;
         let step = ChangeStep::WriteGroupRow {
             row,
             expected_revision,
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -6,7 +6,7 @@
 use slotmap::SlotMap;
 use state::keys::MemberKey;
 use state::log::LogPosition;
-use state::reading::{GroupDigest, WatermarkDigest};
+use state::reading::{GroupDigest, StoreRevision, WatermarkDigest};
 use state::server_list::{ListedServer, ServerState};
 
 use crate::managed::primary_view::{GroupRow, PrimaryEvent, PrimaryView};
@@ -172,7 +172,7 @@
     pub fn observe_row(
         &mut self,
         row: &GroupRow,
-        revision: u64,
+        revision: StoreRevision,
         asked_at: Instant,
         now: Instant,
     ) -> Option<PrimaryEvent> {
--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use state::log::Term;
 use state::member::MemberRole;
+use state::reading::StoreRevision;
 
 /// Time for which one read of the row assures the primary. Each unplanned change
 /// of primary waits for this time (target for the whole change: 8 s). It must
@@ -122,7 +123,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrimaryView {
     row: Option<GroupRow>,
-    revision: u64,
+    revision: StoreRevision,
     assured_until: Option<Instant>,
     successor: Option<ObservedSuccessor>,
     /// The primary of `row` answered that it is not the primary.
@@ -139,8 +140,8 @@
         self.row.as_ref()
     }
 
-    /// Returns the revision of the row; 0 if it was never read.
-    pub fn revision(&self) -> u64 {
+    /// Returns the revision of the row; number 0 if it was never read.
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -236,10 +237,10 @@
     pub fn observe_row(
         &mut self,
         row: &GroupRow,
-        revision: u64,
+        revision: StoreRevision,
         asked_at: Instant,
     ) -> Option<PrimaryEvent> {
-        if revision < self.revision || self.is_older_term(row) {
+        if revision.number < self.revision.number || self.is_older_term(row) {
             return None;
         }
         self.revision = revision;
--- a/crates/coordination/tests/managed_change.rs
+++ b/crates/coordination/tests/managed_change.rs
@@ -14,7 +14,7 @@
     self, AcquireDecision, LeaseReading, PromotionLease, LEASE_DURATION,
 };
 use googletest::prelude::*;
-use managed_support::{group_of_three, group_row, ms, observe_primary, server};
+use managed_support::{group_of_three, group_row, ms, observe_primary, revision, server};
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 use state::server_list::{ListedServer, ServerState};
@@ -139,7 +139,7 @@
             scenario: |group, now| {
                 let mut row = group_row("a", 1);
                 row.change = Some(managed_support::announcement());
-                group.observe_row(&row, 9, now + ms(100), now + ms(100));
+                group.observe_row(&row, revision(9), now + ms(100), now + ms(100));
                 now + ms(200)
             },
             expected: Some(ChangeReason::Unfinished),
--- a/crates/coordination/tests/managed_model/entry_host.rs
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -16,6 +16,7 @@
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 use state::plan::ReadFreshness;
+use state::reading::{StoreEra, StoreRevision};
 
 use super::platform::member_index;
 use super::{Answer, Decision, Delivery, Endpoint, MemberRequest, Outbox, Request, RowValue};
@@ -481,6 +482,7 @@
         now: Instant,
     ) {
         if let Some((row, revision)) = group_row {
+            let revision = StoreRevision::new(StoreEra(0), revision);
             self.group.observe_row(&row, revision, asked_at, now);
         }
     }
--- a/crates/coordination/tests/managed_steps.rs
+++ b/crates/coordination/tests/managed_steps.rs
@@ -71,7 +71,7 @@
         else {
             panic!("the announcement follows the lease");
         };
-        assert_eq!(expected_revision, self.group.primary_view.revision());
+        assert_eq!(expected_revision, self.group.primary_view.revision().number);
         assert!(row.change.is_some());
         self.next(StepOutcome::Written { revision: 9 }, 20)
     }
--- a/crates/coordination/tests/support/managed.rs
+++ b/crates/coordination/tests/support/managed.rs
@@ -8,6 +8,7 @@
 use coordination::managed::primary_view::{AnnouncedChange, GroupRow};
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
+use state::reading::{StoreEra, StoreRevision};
 use state::server_list::{ListedServer, ServerState};
 
 pub fn ms(millis: u64) -> Duration {
@@ -37,6 +38,11 @@
     }
 }
 
+/// Returns a revision of the store's first era.
+pub fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(0), number)
+}
+
 pub fn announcement() -> AnnouncedChange {
     AnnouncedChange {
         host: "host-1".to_owned(),
@@ -48,7 +54,12 @@
 /// Records a read of the group's row without an announced change. The revision of
 /// the row is the same as its term.
 pub fn observe_primary(group: &mut ManagedGroup, primary: &str, term: u64, asked_at: Instant) {
-    group.observe_row(&group_row(primary, term), term, asked_at, asked_at);
+    group.observe_row(
+        &group_row(primary, term),
+        revision(term),
+        asked_at,
+        asked_at,
+    );
 }
 
 /// Returns a group with the primary `a` in `dc-1` and the replicas `b` and `c` in
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -6,7 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 use state::reading::{
-    GroupDigest, HostReport, LiveHost, PlanReading, ServerListReading, TableReading,
+    GroupDigest, HostReport, LiveHost, PlanReading, ServerListReading, StoreEra, StoreRevision,
+    TableReading,
 };
 
 /// Identifies the newest readings that a host received from its reader.
@@ -34,6 +35,8 @@
 pub struct ReadingsRequest {
     /// The readings that the host has.
     pub known: KnownReadings,
+    /// Newest era of the store that the host knows.
+    pub era: StoreEra,
     /// Reports of the host and of those that fetch readings from it.
     pub reports: Vec<HostReport>,
 }
@@ -47,7 +50,7 @@
     /// The rows are those that the receiver has.
     SameRows {
         /// Newest revision of the store at the time of the read.
-        revision: u64,
+        revision: StoreRevision,
         /// The store's monotonic clock at the time of the read.
         store_time: Duration,
     },
@@ -60,6 +63,9 @@
 pub struct RelayedReadings {
     /// Identifies the readings that the receiver has after this answer.
     pub known: KnownReadings,
+    /// Newest era of the store that the sender knows. The times and the digests are
+    /// of this era.
+    pub era: StoreEra,
     /// A time that the store's clock had not passed when the request arrived;
     /// `None` if the sender does not know one.
     pub latest_time: Option<Duration>,
--- a/crates/state/src/reading.rs
+++ b/crates/state/src/reading.rs
@@ -12,13 +12,45 @@
 use crate::plan::RoutePlan;
 use crate::server_list::ListedServer;
 
+/// Number of the store's history, which rises each time the store returns from an
+/// older copy. What was written after that copy is lost, and its revisions are given
+/// out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
+/// A revision of the store and the history that it belongs to.
+///
+/// # Invariants
+///
+/// The order is by era first: numbers of different eras say nothing about each other.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct StoreRevision {
+    /// The history in which the number was given out.
+    pub era: StoreEra,
+    /// Number of the revision; 0 if the row does not exist.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Creates the revision `number` of `era`.
+    pub const fn new(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
 /// A row of a table in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct StoredRow {
     /// Key of the row in its table.
     pub key: String,
-    /// Revision at which the row was last written; rises with each write.
+    /// Revision at which the row was last written, in the era of the reading.
     pub revision: u64,
     /// Encoded value.
     pub value: Vec<u8>,
@@ -33,7 +65,7 @@
     /// changes in the order in which they were written.
     pub rows: Vec<StoredRow>,
     /// Newest revision of the store at the time of the read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The store's monotonic clock at the time of the read.
     pub store_time: Duration,
 }
@@ -42,6 +74,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct ServerListReading {
+    /// Era in which the list was read.
+    pub era: StoreEra,
     /// Entries that were decoded.
     pub servers: Vec<ListedServer>,
     /// Entries that could not be decoded.
@@ -65,7 +99,7 @@
     /// The newest plan; `None` if the read returned none.
     pub plan: Option<RoutePlan>,
     /// Newest revision of the store at the time of the read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The store's monotonic clock at the time of the read.
     pub store_time: Duration,
 }
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -18,11 +18,13 @@
 use tokio::time::sleep;
 
 use super::codec::StatementCodec;
+use super::context::HostContext;
 use super::group_runtime::GroupRuntime;
 use super::host_platform::{
     ControlTable, ControlWrite, HostPlatform, PromotionAnswer, PromotionOrder, ServiceError,
+    StoreRevision,
 };
-use super::store_follower::{encode_row, write_group_row};
+use super::store_follower::{encode_row, group_key, write_group_row};
 use crate::services::WriteAnswer;
 
 /// Key of the promotion lease's row.
@@ -61,33 +63,43 @@
 }
 
 /// Carries out changes of primary for one entry host.
-#[derive(Clone, Debug)]
-pub(super) struct ChangeDriver<P, K, C> {
+#[derive(Debug)]
+pub(super) struct ChangeDriver<P, K: StatementCodec, C> {
+    context: Arc<HostContext<K, C>>,
     platform: P,
-    host: String,
     incarnation: u64,
-    clock: C,
-    codec: std::marker::PhantomData<K>,
+}
+
+impl<P: Clone, K: StatementCodec, C> Clone for ChangeDriver<P, K, C> {
+    fn clone(&self) -> Self {
+        Self {
+            context: self.context.clone(),
+            platform: self.platform.clone(),
+            incarnation: self.incarnation,
+        }
+    }
 }
 
 impl<P: HostPlatform, K: StatementCodec, C: MonotonicClock> ChangeDriver<P, K, C> {
-    pub(super) fn new(platform: P, host: &str, clock: C) -> Self {
+    pub(super) fn new(context: Arc<HostContext<K, C>>, platform: P) -> Self {
         Self {
+            context,
             platform,
-            host: host.to_owned(),
             incarnation: rand::random(),
-            clock,
-            codec: std::marker::PhantomData,
         }
     }
 
+    fn host(&self) -> &str {
+        &self.context.settings.host
+    }
+
     /// Makes one attempt to change the primary of a group, and logs the result.
     pub(super) async fn run(&self, group: &Arc<GroupRuntime<K, C>>, reason: ChangeReason) {
         let name = group.name.as_str();
-        let started = self.clock.now();
+        let started = self.context.clock.now();
         match self.change(group, reason).await {
             Ok((member, term)) => {
-                let elapsed = self.clock.now().saturating_duration_since(started);
+                let elapsed = self.context.clock.now().saturating_duration_since(started);
                 log::info!(
                     group = name, member = member.as_str(), term = term.0,
                     reason = reason.name(), elapsed_ms = elapsed.as_millis() as u64;
@@ -114,10 +126,10 @@
         group: &Arc<GroupRuntime<K, C>>,
         reason: ChangeReason,
     ) -> Result<(String, Term)> {
-        let mut procedure = ChangeProcedure::new(&self.host, self.incarnation, reason);
+        let mut procedure = ChangeProcedure::new(self.host(), self.incarnation, reason);
         let mut outcome = StepOutcome::Started;
         loop {
-            let now = self.clock.now();
+            let now = self.context.clock.now();
             outcome = match group.with(|group| procedure.next(group, outcome, now)) {
                 ChangeStep::ReadLease => StepOutcome::Lease(self.read_lease().await?),
                 ChangeStep::WriteLease {
@@ -162,7 +174,7 @@
     }
 
     async fn read_lease(&self) -> Result<LeaseReading> {
-        let asked_at = self.clock.now();
+        let asked_at = self.context.clock.now();
         let reading = self.platform.read_table(ControlTable::Groups).await?;
         let row = reading.rows.iter().find(|row| row.key == LEASE_KEY);
         Ok(LeaseReading {
@@ -185,7 +197,9 @@
             expected_revision,
             value: &value,
         };
-        let outcome = write_outcome(&self.platform.write_row(&write).await?);
+        let answer = self.platform.write_row(&write).await?;
+        self.record_write(LEASE_KEY, expected_revision, &answer);
+        let outcome = write_outcome(&answer);
         if outcome != StepOutcome::Conflict {
             log::info!(fencing_token = row.fencing_token; "duty taken");
         }
@@ -198,15 +212,30 @@
         row: &GroupRow,
         expected_revision: u64,
     ) -> Result<StepOutcome> {
-        let asked_at = self.clock.now();
+        let asked_at = self.context.clock.now();
         let answer = write_group_row(&self.platform, &group.name, expected_revision, row).await?;
+        self.record_write(&group_key(&group.name), expected_revision, &answer);
         let outcome = write_outcome(&answer);
         if let StepOutcome::Written { revision } = outcome {
-            group.observe_row(row, revision, asked_at);
+            let era = group.with(|group| group.primary_view.revision().era);
+            group.observe_row(row, StoreRevision::new(era, revision), asked_at);
         }
         Ok(outcome)
     }
 
+    /// Counts a refused write of a row, and logs what the store has instead.
+    fn record_write(&self, key: &str, expected_revision: u64, answer: &WriteAnswer) {
+        let WriteAnswer::Conflict { row } = answer else {
+            return self.context.metrics.reset_refused_writes(key);
+        };
+        let refusals = self.context.metrics.count_refused_write(key);
+        log::warn!(
+            key, expected_revision, stored_revision = row.revision,
+            stored = row.value.as_str(), refusals;
+            "conditional write refused"
+        );
+    }
+
     async fn promote(
         &self,
         group: &GroupRuntime<K, C>,
@@ -223,7 +252,7 @@
         let order = PromotionOrder {
             group: &group.name,
             member: &id,
-            holder: &self.host,
+            holder: self.host(),
             fencing_token,
         };
         let answer = self.platform.promote(&order).await;
@@ -241,7 +270,7 @@
     }
 
     async fn wait_until(&self, instant: Instant) {
-        let left = instant.saturating_duration_since(self.clock.now());
+        let left = instant.saturating_duration_since(self.context.clock.now());
         if !left.is_zero() {
             sleep(left).await;
         }
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -11,7 +11,7 @@
 use state::entry::EntrySettings;
 use state::keys::CustomerKey;
 use state::plan::RoutePlan;
-use state::reading::LiveHost;
+use state::reading::{LiveHost, StoreRevision};
 use tokio::sync::watch;
 
 use super::codec::StatementCodec;
@@ -161,6 +161,21 @@
         }
     }
 
+    /// Records the era of an answer of the store, and logs the first answer of a newer
+    /// era with the newest revision of that answer.
+    pub(super) fn observe_era(&self, revision: StoreRevision) {
+        let Some(former) = self.relay.observe_era(revision.era) else {
+            return;
+        };
+        let StoreRevision { era, number } = revision;
+        let plan = self.plan().map_or(0, |plan| plan.version);
+        log::warn!(
+            era = era.0, former = former.0, revision = number, plan;
+            "the store returned from an older copy"
+        );
+        self.metrics.set_store_era(era.0);
+    }
+
     /// Applies the live entry hosts, which share the members' connections.
     pub(super) fn apply_hosts(&self, live: &[LiveHost]) {
         if !self.relay.set_hosts(live) {
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -14,6 +14,7 @@
 use state::keys::MemberKey;
 use state::log::Term;
 use state::member::MemberRole;
+use state::reading::StoreRevision;
 use state::server_list::ListedServer;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
@@ -136,7 +137,7 @@
     }
 
     /// Records a reading of the group's row that was requested at `asked_at`.
-    pub(crate) fn observe_row(&self, row: &GroupRow, revision: u64, asked_at: Instant) {
+    pub(crate) fn observe_row(&self, row: &GroupRow, revision: StoreRevision, asked_at: Instant) {
         let now = self.clock.now();
         let event = self.with(|group| group.observe_row(row, revision, asked_at, now));
         self.log_event(event.as_ref(), revision);
@@ -148,19 +149,20 @@
     pub(crate) fn adopt_successor(&self) {
         let event = self.with(|group| group.adopt_successor(self.clock.now()));
         if event.is_some() {
-            self.log_event(event.as_ref(), 0);
+            self.log_event(event.as_ref(), StoreRevision::default());
             self.signal();
         }
     }
 
-    fn log_event(&self, event: Option<&PrimaryEvent>, revision: u64) {
+    fn log_event(&self, event: Option<&PrimaryEvent>, revision: StoreRevision) {
         let group = self.name.as_str();
+        let (era, revision) = (revision.era.0, revision.number);
         match event {
             Some(PrimaryEvent::Changed { primary, term }) => {
-                log::info!(group, member = primary.as_str(), term = term.0, revision; "primary");
+                log::info!(group, member = primary.as_str(), term = term.0, era, revision; "primary");
             }
             Some(PrimaryEvent::Announced { host }) => {
-                log::info!(group, host = host.as_str(), revision; "change of primary announced");
+                log::info!(group, host = host.as_str(), era, revision; "change of primary announced");
             }
             None => {}
         }
--- a/crates/transport/src/managed/host_platform.rs
+++ b/crates/transport/src/managed/host_platform.rs
@@ -6,7 +6,9 @@
 use crate::services::WriteAnswer;
 
 pub use crate::services::{Result, ServiceError};
-pub use state::reading::{PlanReading, RejectedEntry, ServerListReading, StoredRow, TableReading};
+pub use state::reading::{
+    PlanReading, RejectedEntry, ServerListReading, StoreEra, StoreRevision, StoredRow, TableReading,
+};
 
 /// Tables in the platform's store that entry hosts own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
 use crate::metrics::DaemonMetrics;
@@ -20,6 +20,8 @@
     results: IntCounterVec,
     member_answers: IntCounterVec,
     plan_version: IntGauge,
+    store_era: IntGauge,
+    refused_writes: IntGaugeVec,
     store_calls: IntCounterVec,
     store_failures: IntCounterVec,
     status_questions: IntCounterVec,
@@ -53,6 +55,17 @@
                 &["member", "outcome"],
             )?,
             plan_version: IntGauge::new("cassia_entry_plan_version", "Version of the plan.")?,
+            store_era: IntGauge::new(
+                "cassia_entry_store_era",
+                "Newest known era of the store.",
+            )?,
+            refused_writes: IntGaugeVec::new(
+                Opts::new(
+                    "cassia_entry_refused_writes_in_a_row",
+                    "Conditional writes of a row that were refused since the last that took effect.",
+                ),
+                &["key"],
+            )?,
             store_calls: IntCounterVec::new(
                 Opts::new(
                     "cassia_entry_store_calls_total",
@@ -88,6 +101,8 @@
         registry.register(Box::new(self.results.clone()))?;
         registry.register(Box::new(self.member_answers.clone()))?;
         registry.register(Box::new(self.plan_version.clone()))?;
+        registry.register(Box::new(self.store_era.clone()))?;
+        registry.register(Box::new(self.refused_writes.clone()))?;
         registry.register(Box::new(self.store_calls.clone()))?;
         registry.register(Box::new(self.store_failures.clone()))?;
         registry.register(Box::new(self.status_questions.clone()))?;
@@ -140,6 +155,24 @@
         self.store_failures.with_label_values(&[call]).inc();
     }
 
+    /// Counts a conditional write of the row with this key that was refused. Returns
+    /// the number of refusals since the last write that took effect.
+    pub(crate) fn count_refused_write(&self, key: &str) -> i64 {
+        let gauge = self.refused_writes.with_label_values(&[key]);
+        gauge.inc();
+        gauge.get()
+    }
+
+    /// Records that a conditional write of the row with this key took effect.
+    pub(crate) fn reset_refused_writes(&self, key: &str) {
+        self.refused_writes.with_label_values(&[key]).set(0);
+    }
+
+    /// Sets the gauge of the store's era.
+    pub(crate) fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauge of the plan version in force.
     pub(crate) fn set_plan_version(&self, version: u64) {
         self.plan_version
--- a/crates/transport/src/managed/plan_follower.rs
+++ b/crates/transport/src/managed/plan_follower.rs
@@ -8,7 +8,7 @@
 
 use super::codec::StatementCodec;
 use super::context::HostContext;
-use super::host_platform::{HostPlatform, PlanReading, Result};
+use super::host_platform::{HostPlatform, PlanReading, Result, StoreRevision};
 use super::relay::ReadingKind;
 use super::store_follower::relayed_pause;
 
@@ -38,10 +38,12 @@
         match next_reading(&platform, known_revision).await {
             Ok(Some(reading)) => {
                 if std::mem::take(&mut failing) {
-                    log::info!(revision = reading.revision; "plan can be read again");
+                    let StoreRevision { era, number } = reading.revision;
+                    log::info!(era = era.0, revision = number; "plan can be read again");
                 }
+                context.observe_era(reading.revision);
                 let has_plan = reading.plan.is_some() || context.plan().is_some();
-                known_revision = has_plan.then_some(reading.revision);
+                known_revision = has_plan.then_some(reading.revision.number);
                 context.relay.record_call(asked_at, reading.store_time);
                 context.relay.offer_plan(&reading);
                 context.observe_plan(reading.plan, asked_at);
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -15,7 +15,7 @@
 use state::clock::MonotonicClock;
 use state::entry::EntrySettings;
 use state::reading::{
-    HostReport, LiveHost, PlanReading, ServerListReading, StoredRow, TableReading,
+    HostReport, LiveHost, PlanReading, ServerListReading, StoreEra, StoredRow, TableReading,
 };
 use tokio::sync::{watch, Notify};
 
@@ -69,6 +69,8 @@
     choice: ReaderChoice,
     presence: PresenceKeeper,
     store_clock: StoreClock,
+    /// Newest known era of the store; `None` before the first answer.
+    era: Option<StoreEra>,
     /// When the host first tried to read the live hosts. Until then it does not know
     /// whether another host reads the store.
     started_at: Option<Instant>,
@@ -126,6 +128,7 @@
                 choice: ReaderChoice::new(&settings.host),
                 presence: PresenceKeeper::new(report),
                 store_clock: StoreClock::default(),
+                era: None,
                 started_at: None,
                 own,
                 relayed_rows: Vec::new(),
@@ -182,6 +185,16 @@
         self.hosts_changed.notify_waiters();
     }
 
+    /// Records the era of an answer of the store. Returns the former era if the answer
+    /// shows that the store returned from an older copy.
+    pub(super) fn observe_era(&self, era: StoreEra) -> Option<StoreEra> {
+        let mut state = self.lock();
+        if state.era.is_some_and(|known| era <= known) {
+            return None;
+        }
+        state.era.replace(era)
+    }
+
     /// Records a call of the store, which bounds the store's clock.
     pub(super) fn record_call(&self, asked_at: Instant, store_time: Duration) {
         let answered_at = self.clock.now();
@@ -368,6 +381,7 @@
         });
         let reply = RelayedReadings {
             known: own.known,
+            era: state.era.unwrap_or_default(),
             latest_time: None,
             earliest_time: None,
             digests: Vec::new(),
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -49,6 +49,7 @@
         let asked_at = hub.clock.now();
         let request = ReadingsRequest {
             known,
+            era: hub.lock().era.unwrap_or_default(),
             reports: hub.lock().presence.recent_reports(asked_at),
         };
         let call = move |client: RelayServiceClient, context| async move {
--- a/crates/transport/src/managed/runtime.rs
+++ b/crates/transport/src/managed/runtime.rs
@@ -146,8 +146,7 @@
     context: Arc<HostContext<K, C>>,
     platform: P,
 ) {
-    let clock = context.clock.clone();
-    let driver = ChangeDriver::new(platform, &context.settings.host, clock.clone());
+    let driver = ChangeDriver::new(context.clone(), platform);
     let mut watched = HashSet::new();
     let mut watches = JoinSet::new();
     loop {
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -15,7 +15,8 @@
 use super::codec::StatementCodec;
 use super::context::HostContext;
 use super::host_platform::{
-    ControlTable, ControlWrite, HostPlatform, RejectedEntry, ServerListReading, TableReading,
+    ControlTable, ControlWrite, HostPlatform, RejectedEntry, ServerListReading, StoreRevision,
+    TableReading,
 };
 use super::relay::ReadingKind;
 
@@ -67,8 +68,10 @@
         match platform.read_table(ControlTable::Groups).await {
             Ok(reading) => {
                 if std::mem::take(&mut failing) {
-                    log::info!(revision = reading.revision; "group rows can be read again");
+                    let StoreRevision { era, number } = reading.revision;
+                    log::info!(era = era.0, revision = number; "group rows can be read again");
                 }
+                context.observe_era(reading.revision);
                 context.relay.record_call(asked_at, reading.store_time);
                 context.relay.offer_group_rows(&reading);
                 apply_group_rows(&context, &reading, asked_at);
@@ -103,9 +106,10 @@
             continue;
         };
         match serde_json::from_slice::<GroupRow>(&row.value) {
-            Ok(value) => context
-                .group(name)
-                .observe_row(&value, row.revision, asked_at),
+            Ok(value) => {
+                let revision = StoreRevision::new(reading.revision.era, row.revision);
+                context.group(name).observe_row(&value, revision, asked_at);
+            }
             Err(error) => {
                 let reason = error.to_string();
                 log::error!(
