--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -27,6 +27,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time between the answer to a promotion call and the change of primary.
 const PROMOTION_TIME: Duration = Duration::from_millis(150);
+/// Time from the store's return until the operator writes the newest configuration
+/// again.
+const OPERATOR_DELAY: Duration = Duration::from_millis(300);
 
 /// State that the members and the store share.
 #[derive(Debug, Default)]
@@ -145,6 +148,31 @@
         self.lock().store.put("op", "config", value.into_bytes());
     }
 
+    /// Lets the store return from a copy that is at least `lost` old, in a new era. The
+    /// members write their entries again with the next heartbeat, and the newest
+    /// configuration is written again after `OPERATOR_DELAY`.
+    pub fn restore_store(&self, lost: Duration) {
+        let mut site = self.lock();
+        let newest = site.store.value("op", "config");
+        site.store.restore(lost);
+        drop(site);
+        let state = self.state.clone();
+        tokio::spawn(async move {
+            sleep(OPERATOR_DELAY).await;
+            let mut site = lock(&state);
+            if let Some(value) =
+                newest.filter(|one| site.store.value("op", "config").as_ref() != Some(one))
+            {
+                site.store.put("op", "config", value);
+            }
+        });
+    }
+
+    /// Returns the newest revision of the store.
+    pub fn store_version(&self) -> u64 {
+        self.lock().store.version()
+    }
+
     /// Makes the store answer every call with status 503, or serve again.
     pub fn set_store_down(&self, down: bool) {
         self.lock().store.down = down;
@@ -210,6 +238,7 @@
                 member.heartbeat += 1;
                 store.put("servers", &member.id, member.entry().into_bytes());
             }
+            store.record_copy();
         }
         sleep(HEARTBEAT).await;
     }
--- a/crates/standin/src/managed/store.rs
+++ b/crates/standin/src/managed/store.rs
@@ -1,12 +1,14 @@
 //! HTTP service of the metadata store and the promotion call.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use axum::extract::{Query, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::middleware::map_response_with_state;
+use axum::response::Response;
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use base64::prelude::{Engine, BASE64_STANDARD};
@@ -18,6 +20,10 @@
 
 /// Interval at which a waiting `/v1/rows-feed` request looks for changes.
 const FEED_POLL: Duration = Duration::from_millis(5);
+/// Age up to which copies of the rows are kept.
+const COPY_MAX_AGE: Duration = Duration::from_secs(20);
+/// Header of every answer with the number of the store's history.
+const ERA_HEADER: &str = "Store-Era";
 
 type SharedView = State<StoreView>;
 type JsonAnswer = (StatusCode, Json<Value>);
@@ -48,7 +54,7 @@
 }
 
 /// Value of a row, and the store version that wrote it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct RowState {
     value: Vec<u8>,
     version: u64,
@@ -58,29 +64,78 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
     pub(super) down: bool,
+    /// Number of returns from an older copy.
+    returns: u64,
+    contents: StoreContents,
+    copies: VecDeque<(Instant, StoreContents)>,
+    started: Option<Instant>,
+}
+
+/// What the store loses when it returns from an older copy.
+#[derive(Clone, Debug, Default)]
+struct StoreContents {
     version: u64,
     rows: BTreeMap<(String, String), RowState>,
-    started: Option<Instant>,
 }
 
 impl StoreState {
     pub(super) fn put(&mut self, table: &str, key: &str, value: Vec<u8>) -> u64 {
-        self.version += 1;
+        let contents = &mut self.contents;
+        contents.version += 1;
         let row = RowState {
             value,
-            version: self.version,
+            version: contents.version,
         };
-        self.rows.insert((table.to_owned(), key.to_owned()), row);
-        self.version
+        contents
+            .rows
+            .insert((table.to_owned(), key.to_owned()), row);
+        contents.version
     }
 
     pub(super) fn remove(&mut self, table: &str, key: &str) {
-        self.version += 1;
-        self.rows.remove(&(table.to_owned(), key.to_owned()));
+        self.contents.version += 1;
+        self.contents
+            .rows
+            .remove(&(table.to_owned(), key.to_owned()));
+    }
+
+    /// Returns the value of a row.
+    pub(super) fn value(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let row = self.contents.rows.get(&(table.to_owned(), key.to_owned()));
+        row.map(|row| row.value.clone())
+    }
+
+    /// Keeps a copy of the rows.
+    pub(super) fn record_copy(&mut self) {
+        let now = Instant::now();
+        self.copies.push_back((now, self.contents.clone()));
+        self.copies
+            .retain(|(at, _)| now.duration_since(*at) < COPY_MAX_AGE);
+    }
+
+    /// Returns to the newest copy that is at least `lost` old, or to an empty store if
+    /// there is none. Revisions from then on are given out again.
+    pub(super) fn restore(&mut self, lost: Duration) {
+        let now = Instant::now();
+        self.copies
+            .retain(|(at, _)| now.duration_since(*at) >= lost);
+        let newest = self.copies.back();
+        self.contents = newest.map(|(_, copy)| copy.clone()).unwrap_or_default();
+        self.returns += 1;
+    }
+
+    /// Returns the newest revision.
+    pub(super) fn version(&self) -> u64 {
+        self.contents.version
+    }
+
+    /// Number of the store's history.
+    fn era(&self) -> u64 {
+        self.returns + 1
     }
 
     fn version_of(&self, table: &str, key: &str) -> u64 {
-        let row = self.rows.get(&(table.to_owned(), key.to_owned()));
+        let row = self.contents.rows.get(&(table.to_owned(), key.to_owned()));
         row.map_or(0, |row| row.version)
     }
 
@@ -91,13 +146,14 @@
 
     fn rows_after(&mut self, table: &str, after: u64) -> Value {
         let rows: Vec<Value> = self
+            .contents
             .rows
             .iter()
             .filter(|((name, _), row)| name == table && row.version > after)
             .map(|((name, key), row)| row_value(name, key, row))
             .collect();
         json!({
-            "rows": rows, "hasMore": false, "rowVersion": self.version,
+            "rows": rows, "hasMore": false, "rowVersion": self.contents.version,
             "serverTimeMs": self.now_ms(),
         })
     }
@@ -144,12 +200,20 @@
         .route("/v1/rows-feed", get(rows_feed))
         .route("/v1/rows-tx", post(rows_tx))
         .route("/failover", post(failover))
+        .layer(map_response_with_state(view.clone(), add_era))
         .with_state(view);
     if let Err(error) = axum::serve(listener, router).await {
         log::error!("the stand-in metadata store stopped: {error}");
     }
 }
 
+async fn add_era(State(view): SharedView, mut response: Response) -> Response {
+    let era = lock(&view.site).store.era();
+    let headers = response.headers_mut();
+    headers.insert(ERA_HEADER, HeaderValue::from(era));
+    response
+}
+
 fn unavailable() -> JsonAnswer {
     (StatusCode::SERVICE_UNAVAILABLE, Json(json!({})))
 }
@@ -181,6 +245,9 @@
             if site.store.down {
                 return unavailable();
             }
+            if after > site.store.contents.version {
+                return (StatusCode::GONE, Json(json!({})));
+            }
             let answer = view.rows_after(&mut site, table, after);
             let has_rows = answer["rows"]
                 .as_array()
@@ -203,7 +270,7 @@
     for row in list("expected") {
         let (table, key) = (text(&row, "table"), text(&row, "key"));
         if site.store.version_of(&table, &key) != row["rowVersion"].as_u64().unwrap_or(0) {
-            let current = site.store.rows.get(&(table.clone(), key.clone()));
+            let current = site.store.contents.rows.get(&(table.clone(), key.clone()));
             let rows: Vec<Value> = current
                 .map(|row| row_value(&table, &key, row))
                 .into_iter()
@@ -211,7 +278,10 @@
             return (StatusCode::PRECONDITION_FAILED, Json(json!({"rows": rows})));
         }
     }
-    let mut version = site.store.version;
+    for row in list("remove") {
+        site.store.remove(&text(&row, "table"), &text(&row, "key"));
+    }
+    let mut version = site.store.contents.version;
     for row in list("puts") {
         let Ok(value) = BASE64_STANDARD.decode(text(&row, "value")) else {
             return (StatusCode::BAD_REQUEST, Json(json!({"error": "value"})));
