--- a/crates/coordination/src/managed.rs
+++ b/crates/coordination/src/managed.rs
@@ -10,7 +10,9 @@
 pub mod change;
 pub mod change_steps;
 pub mod dispatch;
+pub mod era;
 pub mod group;
+pub mod plan_view;
 pub mod presence;
 pub mod primary_view;
 pub mod probe;
--- a/crates/coordination/src/managed/change.rs
+++ b/crates/coordination/src/managed/change.rs
@@ -37,6 +37,8 @@
     /// The primary said that it does not lead, or members answered with a newer
     /// primary than the row names.
     Superseded,
+    /// The store's row is behind the primary that this host knows.
+    Restored,
 }
 
 impl ChangeReason {
@@ -48,13 +50,19 @@
             Self::Unreachable => "unreachable",
             Self::Unfinished => "unfinished",
             Self::Superseded => "superseded",
+            Self::Restored => "restored",
         }
     }
 }
 
-/// Returns the reason to replace the primary now, or `None` if it stays. A
+/// Returns the reason to change the primary or its row now, or `None` if both stay. A
 /// primary without a ready successor stays, unless a change of it has begun.
 pub fn reason_to_change(group: &ManagedGroup, now: Instant) -> Option<ChangeReason> {
+    let is_restorable = || group.primary_view.is_ahead() && group.primary().is_some();
+    reason_to_replace(group, now).or_else(|| is_restorable().then_some(ChangeReason::Restored))
+}
+
+fn reason_to_replace(group: &ManagedGroup, now: Instant) -> Option<ChangeReason> {
     let row = group.primary_view.row()?;
     if row.change.is_some() {
         return Some(ChangeReason::Unfinished);
--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -11,6 +11,7 @@
 use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
+use state::reading::StoreRevision;
 
 use crate::managed::change::{choose_successor, CandidateStatus, ChangeReason, SuccessorDecision};
 use crate::managed::group::ManagedGroup;
@@ -51,6 +52,8 @@
     Conflict,
     /// The promotion lease ended.
     LeaseEnded,
+    /// The store returned from an older copy since the attempt began.
+    EraEnded,
     /// No member can take over.
     NoCandidate,
     /// The promotion did not take effect in time.
@@ -64,6 +67,7 @@
             Self::HeldElsewhere(host) => write!(formatter, "the duty is held by {host}"),
             Self::Conflict => formatter.write_str("another host wrote the row first"),
             Self::LeaseEnded => formatter.write_str("the duty has ended"),
+            Self::EraEnded => formatter.write_str("the store returned from an older copy"),
             Self::NoCandidate => formatter.write_str("no member can take over"),
             Self::NotPromoted => formatter.write_str("the promotion did not take effect"),
         }
@@ -148,6 +152,8 @@
     Started,
     /// The lease row was read.
     Lease(LeaseReading),
+    /// The lease row could not be read.
+    LeaseUnknown,
     /// A row was written.
     Written {
         /// Revision of the row after the write.
@@ -174,7 +180,7 @@
     /// The group's row before the change.
     former: GroupRow,
     /// Revision of the row with the announcement.
-    revision: u64,
+    revision: StoreRevision,
     /// Instant after the store acknowledged the announcement.
     announced_at: Instant,
 }
@@ -195,8 +201,12 @@
     /// All assurances of a primary that did not step down have to end before this
     /// member is promoted.
     AwaitingFence(MemberKey),
+    /// The lease row is read again: the order is sent only in the era of the
+    /// announcement.
+    Confirming(MemberKey),
     Ordering(MemberKey),
-    /// A promotion order was not answered and is about to be sent again.
+    /// The era could not be confirmed yet, or a promotion order was not answered and is
+    /// about to be sent again.
     AwaitingResend(MemberKey),
     AskingSuccessor(MemberKey),
     /// The successor does not lead yet and is about to be asked again.
@@ -281,8 +291,12 @@
             (Phase::AwaitingCatchUp, Outcome::Waited) => self.poll_members(group),
             (Phase::Polling, Outcome::Polled(replies)) => self.evaluate_poll(group, &replies, now),
             (Phase::AwaitingFence(member) | Phase::AwaitingResend(member), Outcome::Waited) => {
-                self.order(member, now)
+                self.confirm(member, now)
             }
+            (Phase::Confirming(member), Outcome::Lease(reading)) => {
+                self.handle_confirmation(member, &reading, now)
+            }
+            (Phase::Confirming(member), Outcome::LeaseUnknown) => self.wait_to_confirm(member, now),
             (Phase::Ordering(member), Outcome::Ordered(outcome)) => {
                 self.handle_order_outcome(member, outcome, now)
             }
@@ -302,6 +316,11 @@
         }
     }
 
+    /// Returns whether the lease row is read to confirm the era before an order.
+    pub fn is_confirming(&self) -> bool {
+        matches!(self.phase, StepPhase::Confirming(_))
+    }
+
     fn enter(&mut self, phase: StepPhase, step: ChangeStep) -> ChangeStep {
         self.phase = phase;
         step
@@ -325,9 +344,22 @@
     }
 
     fn announce(&mut self, group: &ManagedGroup) -> ChangeStep {
-        let (Some(former), Some(lease)) = (group.primary_view.row(), self.lease) else {
+        let view = &group.primary_view;
+        let (Some(known), Some(lease)) = (view.row(), self.lease) else {
             return ChangeStep::Fail(ChangeFailure::Conflict);
         };
+        if view.revision().era != lease.era {
+            return ChangeStep::Fail(ChangeFailure::EraEnded);
+        }
+        let expected_revision = view.revision().number;
+        let former = match (self.reason, view.stored()) {
+            // Hosts that know only the stored row may hold assurances of its primary.
+            (ChangeReason::Restored, Some(stored)) => stored,
+            (ChangeReason::Restored, None) => {
+                return self.write_final_row(known.clone(), expected_revision);
+            }
+            _ => known,
+        };
         let row = GroupRow {
             change: Some(AnnouncedChange {
                 host: self.host.clone(),
@@ -337,7 +369,6 @@
             ..former.clone()
         };
         self.pending_row = Some(former.clone());
-        let expected_revision = group.primary_view.revision().number;
         let step = ChangeStep::WriteGroupRow {
             row,
             expected_revision,
@@ -351,19 +382,24 @@
         revision: u64,
         now: Instant,
     ) -> ChangeStep {
-        let Some(former) = self.pending_row.take() else {
+        let (Some(former), Some(lease)) = (self.pending_row.take(), self.lease) else {
             return ChangeStep::Fail(ChangeFailure::Conflict);
         };
         self.announcement = Some(Announcement {
             former,
-            revision,
+            revision: StoreRevision::new(lease.era, revision),
             announced_at: now,
         });
-        if self.reason == ChangeReason::Draining {
-            let until = now + ORDERLY_NOTICE;
-            return self.enter(StepPhase::AwaitingNotice, ChangeStep::Wait { until });
+        match self.reason {
+            ChangeReason::Draining => {
+                let until = now + ORDERLY_NOTICE;
+                self.enter(StepPhase::AwaitingNotice, ChangeStep::Wait { until })
+            }
+            ChangeReason::Restored => {
+                self.enter(StepPhase::Polling, ChangeStep::PollMembers { former: None })
+            }
+            _ => self.step_down(group, now),
         }
-        self.step_down(group, now)
     }
 
     fn former_key(&self, group: &ManagedGroup) -> Option<MemberKey> {
@@ -396,6 +432,9 @@
         replies: &[CandidateStatus],
         now: Instant,
     ) -> ChangeStep {
+        if self.reason == ChangeReason::Restored {
+            return self.evaluate_restored(group, replies);
+        }
         let member = match choose_successor(group, replies, self.former_key(group)) {
             SuccessorDecision::Leading { member, term } => return self.await_end(member, term),
             SuccessorDecision::Promote { member } => member,
@@ -411,17 +450,73 @@
             return self.enter(StepPhase::AwaitingCatchUp, ChangeStep::Wait { until });
         }
         if self.step_down_end.is_some() {
-            return self.order(member, now);
+            return self.confirm(member, now);
         }
         let until = self.end_of_assurances(now) + FENCE_MARGIN;
         self.enter(StepPhase::AwaitingFence(member), ChangeStep::Wait { until })
     }
 
+    /// Lets the row of the newest primary that answered be written again; it must not be
+    /// behind the one that this host knows.
+    fn evaluate_restored(
+        &mut self,
+        group: &ManagedGroup,
+        replies: &[CandidateStatus],
+    ) -> ChangeStep {
+        let known = group.primary_view.term();
+        let leading = replies
+            .iter()
+            .filter(|reply| reply.role == MemberRole::Primary && reply.term >= known)
+            .max_by_key(|reply| reply.term);
+        match leading {
+            Some(reply) => self.await_end(reply.member, reply.term),
+            None => ChangeStep::Fail(ChangeFailure::NoCandidate),
+        }
+    }
+
     fn end_of_assurances(&self, now: Instant) -> Instant {
         let announced_at = self.announcement.as_ref().map(|known| known.announced_at);
         announced_at.unwrap_or(now) + ASSURANCE_DURATION
     }
 
+    /// Reads the lease row before an order: if the store returned from an older copy
+    /// since the announcement, other hosts may not know of the change any more.
+    fn confirm(&mut self, member: MemberKey, now: Instant) -> ChangeStep {
+        if !self.lease.is_some_and(|lease| lease.allows_call(now)) {
+            return ChangeStep::Fail(ChangeFailure::LeaseEnded);
+        }
+        self.enter(StepPhase::Confirming(member), ChangeStep::ReadLease)
+    }
+
+    fn handle_confirmation(
+        &mut self,
+        member: MemberKey,
+        reading: &LeaseReading,
+        now: Instant,
+    ) -> ChangeStep {
+        let announced_in = self.announcement.as_ref().map(|known| known.revision.era);
+        if announced_in != Some(reading.marker.era) {
+            return ChangeStep::Fail(ChangeFailure::EraEnded);
+        }
+        let order_wait = reading.marker.order_wait();
+        if !order_wait.is_zero() {
+            let until = reading.asked_at + order_wait;
+            return self.enter(
+                StepPhase::AwaitingResend(member),
+                ChangeStep::Wait { until },
+            );
+        }
+        self.order(member, now)
+    }
+
+    fn wait_to_confirm(&mut self, member: MemberKey, now: Instant) -> ChangeStep {
+        let until = now + RESEND_PAUSE;
+        self.enter(
+            StepPhase::AwaitingResend(member),
+            ChangeStep::Wait { until },
+        )
+    }
+
     fn order(&mut self, member: MemberKey, now: Instant) -> ChangeStep {
         let Some(lease) = self.lease.filter(|lease| lease.allows_call(now)) else {
             return ChangeStep::Fail(ChangeFailure::LeaseEnded);
@@ -447,13 +542,7 @@
                 self.ask_successor(member)
             }
             OrderOutcome::Rejected => ChangeStep::Fail(ChangeFailure::NoCandidate),
-            OrderOutcome::Unknown => {
-                let until = now + RESEND_PAUSE;
-                self.enter(
-                    StepPhase::AwaitingResend(member),
-                    ChangeStep::Wait { until },
-                )
-            }
+            OrderOutcome::Unknown => self.wait_to_confirm(member, now),
         }
     }
 
@@ -505,8 +594,12 @@
             term,
             change: None,
         };
+        let expected_revision = announcement.revision.number;
+        self.write_final_row(row, expected_revision)
+    }
+
+    fn write_final_row(&mut self, row: GroupRow, expected_revision: u64) -> ChangeStep {
         self.pending_row = Some(row.clone());
-        let expected_revision = announcement.revision;
         let step = ChangeStep::WriteGroupRow {
             row,
             expected_revision,
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -1,15 +1,17 @@
 //! One entry host's state of a managed group: the listed members and their
 //! answers, the primary and the watermarks.
 
+use std::cmp::Ordering;
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 use state::keys::MemberKey;
 use state::log::LogPosition;
-use state::reading::{GroupDigest, StoreRevision, WatermarkDigest};
+use state::reading::{GroupDigest, WatermarkDigest};
 use state::server_list::{ListedServer, ServerState};
 
-use crate::managed::primary_view::{GroupRow, PrimaryEvent, PrimaryView};
+use crate::managed::primary_view::{GroupRow, PrimaryEvent, PrimaryView, RowReading};
 use crate::view::GroupWatermark;
 use crate::watermark::WatermarkHistory;
 
@@ -30,6 +32,11 @@
 /// asked for the same or a later position.
 const LAG_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which a removed member is remembered, so that an entry of it in an older
+/// copy of the list is recognised. The store returns from copies that are some seconds
+/// old, and drops the entry of a silent member after seconds.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(120);
+
 /// How an attempt to use a member failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContactFailure {
@@ -124,6 +131,13 @@
     }
 }
 
+/// The last entry of a member that was removed from the list.
+#[derive(Clone, Debug)]
+struct DepartedMember {
+    server: ListedServer,
+    removed_at: Instant,
+}
+
 /// A change of the member list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListEvent {
@@ -142,6 +156,8 @@
 pub struct ManagedGroup {
     /// Members that are listed, or were until recently.
     pub members: SlotMap<MemberKey, ManagedMember>,
+    /// Members that were removed from the list lately, by identity.
+    departed: HashMap<String, DepartedMember>,
     /// The primary and its assurance.
     pub primary_view: PrimaryView,
     /// Instant at which the current primary and term were first seen.
@@ -168,15 +184,9 @@
             .and_then(|(id, _)| self.find(id))
     }
 
-    /// Records a read of the group's row that was sent at `asked_at`.
-    pub fn observe_row(
-        &mut self,
-        row: &GroupRow,
-        revision: StoreRevision,
-        asked_at: Instant,
-        now: Instant,
-    ) -> Option<PrimaryEvent> {
-        let event = self.primary_view.observe_row(row, revision, asked_at);
+    /// Records a reading of the group's row.
+    pub fn observe_row(&mut self, reading: &RowReading<'_>, now: Instant) -> Option<PrimaryEvent> {
+        let event = self.primary_view.observe_row(reading);
         self.record_term_start(event.as_ref(), now);
         event
     }
@@ -206,10 +216,13 @@
     ) -> Vec<ListEvent> {
         let mut events = Vec::new();
         self.listed_at = Some(now);
+        self.departed
+            .retain(|_, one| now.saturating_duration_since(one.removed_at) < DEPARTED_MEMORY);
+        let in_grace = returned_at.is_some_and(|instant| now < instant + RELIST_GRACE);
         for server in servers {
-            self.apply_server(server, now, &mut events);
+            self.apply_server(server, in_grace, now, &mut events);
         }
-        let in_grace = returned_at.is_some_and(|instant| now < instant + RELIST_GRACE);
+        let departed = &mut self.departed;
         self.members.retain(|_, member| {
             if servers.iter().any(|server| server.id == member.server.id) {
                 return true;
@@ -222,19 +235,38 @@
             if in_grace || (answers && now < since + RELIST_GRACE) {
                 return true;
             }
-            events.push(ListEvent::Removed(member.server.id.clone()));
+            let server = member.server.clone();
+            events.push(ListEvent::Removed(server.id.clone()));
+            let removed_at = now;
+            departed.insert(server.id.clone(), DepartedMember { server, removed_at });
             false
         });
         events
     }
 
-    fn apply_server(&mut self, server: &ListedServer, now: Instant, events: &mut Vec<ListEvent>) {
+    fn apply_server(
+        &mut self,
+        server: &ListedServer,
+        in_grace: bool,
+        now: Instant,
+        events: &mut Vec<ListEvent>,
+    ) {
+        let departed = self.departed.get(&server.id).map(|one| &one.server);
+        if departed.is_some_and(|known| compare_entries(server, known, in_grace).is_le()) {
+            return;
+        }
+        self.departed.remove(&server.id);
         let Some(key) = self.find(&server.id) else {
             events.push(ListEvent::Added(server.id.clone()));
             self.members.insert(ManagedMember::new(server.clone(), now));
             return;
         };
         let member = &mut self.members[key];
+        member.missing_since = None;
+        if compare_entries(server, &member.server, in_grace).is_lt() {
+            // An older copy of the entry, which the member is about to write again.
+            return;
+        }
         if member.server.started_ms != server.started_ms || member.server.address != server.address
         {
             events.push(ListEvent::Restarted(server.id.clone()));
@@ -248,7 +280,6 @@
         if member.server.heartbeat != server.heartbeat {
             member.heartbeat_at = now;
         }
-        member.missing_since = None;
         member.server = server.clone();
     }
 
@@ -418,3 +449,16 @@
             .map(|watermark| watermark.asked_at)
     }
 }
+
+/// Compares two entries of a member by the counts of the member itself. Start times of
+/// different processes count only `in_grace`, after a return of the store, because the
+/// clock of a member may be set back; otherwise `entry` is the newer one.
+fn compare_entries(entry: &ListedServer, known: &ListedServer, in_grace: bool) -> Ordering {
+    if entry.started_ms == known.started_ms {
+        return entry.heartbeat.cmp(&known.heartbeat);
+    }
+    match in_grace {
+        true => entry.started_ms.cmp(&known.started_ms),
+        false => Ordering::Greater,
+    }
+}
--- a/crates/coordination/src/managed/presence.rs
+++ b/crates/coordination/src/managed/presence.rs
@@ -9,7 +9,7 @@
 //! that reports nothing for [`HOST_LIFETIME`] no longer counts; its connections
 //! have been closed by the members long before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -105,6 +105,17 @@
     }
 }
 
+/// Returns the live hosts of a reading together with the known hosts that it lacks. Used
+/// while hosts renew their presence after the store returned from an older copy, so that
+/// the limits that the hosts share are not exceeded meanwhile.
+pub fn with_known_hosts(live: &[LiveHost], known: &[LiveHost]) -> Vec<LiveHost> {
+    let listed: HashSet<&str> = live.iter().map(|host| host.name.as_str()).collect();
+    let missing = known
+        .iter()
+        .filter(|host| !listed.contains(host.name.as_str()));
+    live.iter().chain(missing).cloned().collect()
+}
+
 /// One host's part in keeping its data centre's row.
 #[derive(Clone, Debug)]
 pub struct PresenceKeeper {
@@ -160,6 +171,13 @@
         self.renewed_at.map(|instant| instant + interval)
     }
 
+    /// Lets the row be renewed at once, because the store returned from an older copy of
+    /// it.
+    pub fn restart_renewals(&mut self) {
+        self.join_renewals = JOIN_RENEWALS;
+        self.renewed_at = None;
+    }
+
     /// Records that the rows were read in order to renew this data centre's.
     pub fn record_renewal(&mut self, now: Instant) {
         self.join_renewals = self.join_renewals.saturating_sub(1);
--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use state::log::Term;
 use state::member::MemberRole;
-use state::reading::StoreRevision;
+use state::reading::{StoreEra, StoreRevision};
 
 /// Time for which one read of the row assures the primary. Each unplanned change
 /// of primary waits for this time (target for the whole change: 8 s). It must
@@ -55,6 +55,15 @@
     pub change: Option<AnnouncedChange>,
 }
 
+impl GroupRow {
+    /// Returns a value by which the rows of a group are ordered. The store's revisions
+    /// agree with it as long as no write is lost: an announcement is followed by a row
+    /// of a later term.
+    pub fn progress(&self) -> (Term, bool) {
+        (self.term, self.change.is_some())
+    }
+}
+
 /// A change of primary that has been announced in the group's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
@@ -89,6 +98,20 @@
     Superseded,
 }
 
+/// A reading of a group's row.
+#[derive(Clone, Copy, Debug)]
+pub struct RowReading<'a> {
+    /// The row.
+    pub row: &'a GroupRow,
+    /// Revision of the row.
+    pub revision: StoreRevision,
+    /// Instant before the read was sent.
+    pub asked_at: Instant,
+    /// Whether the era is old enough that a row without an announced change assures
+    /// its primary.
+    pub is_settled: bool,
+}
+
 /// A change of the primary that an observation showed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PrimaryEvent {
@@ -118,12 +141,18 @@
 ///
 /// # Invariants
 ///
-/// `revision` never decreases. `assured_until` belongs to the primary of `row`,
-/// and commits of later primaries are acknowledged only after it.
+/// `revision` never decreases. `row` only moves on in the order of
+/// [`GroupRow::progress`], also if the store lost it. `assured_until` belongs to the
+/// primary of `row`, and commits of later primaries are acknowledged only after it.
 #[derive(Clone, Debug, Default)]
 pub struct PrimaryView {
     row: Option<GroupRow>,
+    /// The row that the store has, as it was read last.
+    stored: Option<GroupRow>,
+    /// Revision of `stored`; number 0 if the store has no row.
     revision: StoreRevision,
+    /// Instant since which `row` is ahead of `stored`.
+    ahead_since: Option<Instant>,
     assured_until: Option<Instant>,
     successor: Option<ObservedSuccessor>,
     /// The primary of `row` answered that it is not the primary.
@@ -140,7 +169,25 @@
         self.row.as_ref()
     }
 
-    /// Returns the revision of the row; number 0 if it was never read.
+    /// Returns the row that the store has, as it was read last.
+    pub fn stored(&self) -> Option<&GroupRow> {
+        self.stored.as_ref()
+    }
+
+    /// Returns the instant since which the store's row is behind the one that this host
+    /// knows, as of the last call of [`update_change_times`](Self::update_change_times).
+    pub fn ahead_since(&self) -> Option<Instant> {
+        self.ahead_since
+    }
+
+    /// Returns whether the store's row is behind the one that this host knows: the
+    /// store lost it, or a successor was adopted without the store.
+    pub fn is_ahead(&self) -> bool {
+        let stored = self.stored.as_ref().map(GroupRow::progress);
+        self.row.as_ref().map(GroupRow::progress) > stored
+    }
+
+    /// Returns the revision of the stored row; number 0 if there is none.
     pub fn revision(&self) -> StoreRevision {
         self.revision
     }
@@ -190,6 +237,10 @@
     /// Updates the instants since which a change is under way and since which no
     /// primary takes work. Must be called at short intervals.
     pub fn update_change_times(&mut self, now: Instant) {
+        self.ahead_since = match self.is_ahead() {
+            true => self.ahead_since.or(Some(now)),
+            false => None,
+        };
         self.changing_since = match self.is_changing() {
             true => self.changing_since.or(Some(now)),
             false => None,
@@ -232,18 +283,18 @@
         }
     }
 
-    /// Records a read of the row that was sent at `asked_at`. A row that is older
-    /// than the known one is ignored.
-    pub fn observe_row(
-        &mut self,
-        row: &GroupRow,
-        revision: StoreRevision,
-        asked_at: Instant,
-    ) -> Option<PrimaryEvent> {
-        if revision.number < self.revision.number || self.is_older_term(row) {
+    /// Records a reading of the row. A row that is behind the known one only tells on
+    /// which revision the next write is conditional.
+    pub fn observe_row(&mut self, reading: &RowReading<'_>) -> Option<PrimaryEvent> {
+        let row = reading.row;
+        if reading.revision < self.revision {
+            return None;
+        }
+        self.revision = reading.revision;
+        self.stored = Some(row.clone());
+        if self.is_ahead() {
             return None;
         }
-        self.revision = revision;
         let event = self.describe_change(row);
         let same_primary = self
             .row
@@ -261,16 +312,18 @@
         {
             self.successor = None;
         }
-        if row.change.is_none() && self.successor.is_none() {
-            self.extend_assurance(asked_at + ASSURANCE_DURATION);
+        if row.change.is_none() && self.successor.is_none() && reading.is_settled {
+            self.extend_assurance(reading.asked_at + ASSURANCE_DURATION);
         }
         event
     }
 
-    /// Returns whether a row has an older term than the known one, which happens
-    /// after a successor was adopted without the store.
-    fn is_older_term(&self, row: &GroupRow) -> bool {
-        row.term < self.term()
+    /// Records that the store has no row in a newer era.
+    pub fn observe_absence(&mut self, era: StoreEra) {
+        if era > self.revision.era {
+            self.revision = StoreRevision::new(era, 0);
+            self.stored = None;
+        }
     }
 
     fn describe_change(&self, row: &GroupRow) -> Option<PrimaryEvent> {
--- a/crates/coordination/src/managed/probe.rs
+++ b/crates/coordination/src/managed/probe.rs
@@ -25,6 +25,10 @@
 /// The same age at a host that gets watermarks from another one.
 const SERVED_WATERMARK_AGE: Duration = Duration::from_millis(1_300);
 
+/// Time for which a host leaves a lost row to the hosts that read the store. They write
+/// it within a reading interval and the 1 s in which former assurances end.
+const SERVED_RESTORE_DELAY: Duration = Duration::from_secs(3);
+
 /// Which part of the questions falls to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeDuty {
@@ -36,6 +40,14 @@
     Served,
 }
 
+/// Returns whether this host may write a lost row of the store again. The hosts that read
+/// the store come first, so that not all hosts try it at the same time.
+pub fn may_restore(group: &ManagedGroup, duty: ProbeDuty, now: Instant) -> bool {
+    let ahead_since = group.primary_view.ahead_since();
+    let ahead_for = ahead_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+    duty != ProbeDuty::Served || ahead_for >= SERVED_RESTORE_DELAY
+}
+
 /// Returns whether the members have to be asked for their roles, so that the primary
 /// stays assured without the store.
 pub fn needs_round(group: &ManagedGroup, duty: ProbeDuty, now: Instant) -> bool {
--- a/crates/coordination/src/managed/promotion_lease.rs
+++ b/crates/coordination/src/managed/promotion_lease.rs
@@ -9,6 +9,9 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use state::reading::StoreEra;
+
+use crate::managed::era::EraMarker;
 
 /// Duration of the lease. The promotion is ordered within about 1.2 s of the
 /// announcement. A holder that fails delays the change by at most this duration
@@ -17,6 +20,10 @@
 /// Time between the end of a lease and its takeover by another host: calls of
 /// the former holder may still be in transit.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(1_000);
+/// Number of fencing tokens that one era of the store can give out. The tokens of an
+/// era begin after those of the eras before, because the store may have lost the last
+/// ones that were given out.
+const TOKENS_PER_ERA: u64 = 1 << 20;
 /// Time before the end of its lease at which a holder starts no more calls.
 const HOLDER_MARGIN: Duration = Duration::from_millis(500);
 
@@ -42,6 +49,8 @@
     pub row: Option<PromotionLease>,
     /// Revision of the row; 0 if it does not exist.
     pub revision: u64,
+    /// Era in which the row was read.
+    pub marker: EraMarker,
     /// Time on the store's clock when the row was read.
     pub store_time: Duration,
     /// Instant on this host's clock before the read was sent.
@@ -53,6 +62,8 @@
 pub struct HeldLease {
     /// Fencing token of the lease.
     pub fencing_token: u64,
+    /// Era of the store in which the lease was taken.
+    pub era: StoreEra,
     /// Instant at which the holder must stop using the lease.
     pub until: Instant,
 }
@@ -86,7 +97,8 @@
 pub fn decide(reading: &LeaseReading, host: &str, incarnation: u64) -> AcquireDecision {
     let now_ms = millis(reading.store_time);
     let is_own = |row: &PromotionLease| row.host == host && row.incarnation == incarnation;
-    let mut fencing_token = 1;
+    let first_token = reading.marker.era.0.saturating_mul(TOKENS_PER_ERA) + 1;
+    let mut fencing_token = first_token;
     if let Some(row) = &reading.row {
         let free_at = row.until_ms.saturating_add(millis(TAKEOVER_MARGIN));
         if !is_own(row) && now_ms < free_at {
@@ -94,7 +106,8 @@
                 host: row.host.clone(),
             };
         }
-        fencing_token = row.fencing_token + u64::from(!is_own(row));
+        let next_token = row.fencing_token + u64::from(!is_own(row));
+        fencing_token = next_token.max(first_token);
     }
     AcquireDecision::Write {
         row: PromotionLease {
@@ -105,6 +118,7 @@
         },
         held: HeldLease {
             fencing_token,
+            era: reading.marker.era,
             until: reading.asked_at + LEASE_DURATION,
         },
     }
--- a/crates/coordination/tests/managed_change.rs
+++ b/crates/coordination/tests/managed_change.rs
@@ -14,7 +14,9 @@
     self, AcquireDecision, LeaseReading, PromotionLease, LEASE_DURATION,
 };
 use googletest::prelude::*;
-use managed_support::{group_of_three, group_row, ms, observe_primary, revision, server};
+use managed_support::{
+    group_of_three, group_row, marker, ms, observe_primary, reading, revision, server,
+};
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 use state::server_list::{ListedServer, ServerState};
@@ -139,7 +141,7 @@
             scenario: |group, now| {
                 let mut row = group_row("a", 1);
                 row.change = Some(managed_support::announcement());
-                group.observe_row(&row, revision(9), now + ms(100), now + ms(100));
+                group.observe_row(&reading(&row, revision(9), now + ms(100)), now + ms(100));
                 now + ms(200)
             },
             expected: Some(ChangeReason::Unfinished),
@@ -344,6 +346,7 @@
     ];
     for case in cases {
         let reading = LeaseReading {
+            marker: marker(),
             revision: 3,
             store_time: Duration::from_millis(case.store_ms),
             asked_at: Instant::now(),
@@ -366,6 +369,7 @@
 fn a_holder_stops_before_another_host_may_take_the_lease() {
     let asked_at = Instant::now();
     let reading = LeaseReading {
+        marker: marker(),
         row: None,
         revision: 0,
         store_time: ms(1_000),
@@ -379,6 +383,7 @@
     expect_that!(held.allows_call(asked_at + LEASE_DURATION), eq(false));
     // Another host reads the row when the store's clock shows the end of the lease.
     let later = LeaseReading {
+        marker: marker(),
         row: Some(row.clone()),
         revision: 1,
         store_time: Duration::from_millis(row.until_ms),
--- a/crates/coordination/tests/managed_dispatch.rs
+++ b/crates/coordination/tests/managed_dispatch.rs
@@ -14,7 +14,8 @@
 use coordination::managed::primary_view::{AssuranceState, RoundReply, ASSURANCE_DURATION};
 use googletest::prelude::*;
 use managed_support::{
-    announcement, answer_primary, group_of_three, group_row, ms, observe_primary, revision, server,
+    announcement, answer_primary, group_of_three, group_row, ms, observe_primary, reading,
+    revision, server,
 };
 use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
@@ -230,7 +231,7 @@
     let mut group = group_of_three(now);
     let mut row = group_row("a", 1);
     row.change = Some(announcement());
-    group.observe_row(&row, revision(5), now + ms(100), now + ms(110));
+    group.observe_row(&reading(&row, revision(5), now + ms(100)), now + ms(110));
     let choice = choose_primary(&group, None, &[], now + ms(120));
     expect_that!(choice, eq(MemberChoice::None(ChoiceFailure::NoPrimary)));
 }
@@ -449,9 +450,7 @@
     let mut group = group_of_three(now);
     observe_primary(&mut group, "b", 2, now + ms(100));
     group.observe_row(
-        &group_row("a", 1),
-        revision(1),
-        now + ms(200),
+        &reading(&group_row("a", 1), revision(1), now + ms(200)),
         now + ms(210),
     );
     expect_that!(group.primary(), eq(group.find("b")));
@@ -519,7 +518,7 @@
     let mut row = group_row("a", 1);
     row.change = Some(announcement());
     row.change.as_mut().unwrap().orderly = true;
-    group.observe_row(&row, revision(5), now + ms(400), now + ms(410));
+    group.observe_row(&reading(&row, revision(5), now + ms(400)), now + ms(410));
     let serves = |group: &ManagedGroup, at| member_of(choose_primary(group, None, &[], at));
     expect_that!(serves(&group, now + ms(500)), eq(group.find("a")));
     // Reads of the row with an announcement do not extend the assurance.
@@ -581,7 +580,7 @@
         expect_that!(waits, eq(true), "a primary takes work");
         let mut row = group_row("a", 1);
         row.change = Some(announcement());
-        group.observe_row(&row, revision(5), start, start);
+        group.observe_row(&reading(&row, revision(5), start), start);
         group.primary_view.update_change_times(start);
         group.primary_view.update_change_times(start + ms(50));
         let now = start + ms(case.checked_after);
@@ -589,9 +588,7 @@
         let waits = may_await_primary(&group, deadline, now);
         expect_that!(waits, eq(case.waits), "{}", case.name);
         group.observe_row(
-            &group_row("b", 2),
-            revision(6),
-            start + ms(1_500),
+            &reading(&group_row("b", 2), revision(6), start + ms(1_500)),
             start + ms(1_500),
         );
         group.primary_view.update_change_times(start + ms(1_500));
--- a/crates/coordination/tests/managed_era.rs
+++ b/crates/coordination/tests/managed_era.rs
@@ -8,7 +8,7 @@
 
 use coordination::managed::primary_view::PrimaryView;
 use googletest::prelude::*;
-use managed_support::{group_row, ms};
+use managed_support::{group_row, ms, reading};
 use state::reading::{StoreEra, StoreRevision};
 
 const FIRST: StoreEra = StoreEra(1);
@@ -20,10 +20,18 @@
 fn the_next_write_is_conditional_on_the_row_that_the_store_has() {
     let now = Instant::now();
     let mut view = PrimaryView::default();
-    view.observe_row(&group_row("a", 1), StoreRevision::new(FIRST, 9), now);
-    view.observe_row(&group_row("b", 2), StoreRevision::new(FIRST, 29), now);
+    view.observe_row(&reading(
+        &group_row("a", 1),
+        StoreRevision::new(FIRST, 9),
+        now,
+    ));
+    view.observe_row(&reading(
+        &group_row("b", 2),
+        StoreRevision::new(FIRST, 29),
+        now,
+    ));
     let returned = StoreRevision::new(SECOND, 9);
-    view.observe_row(&group_row("a", 1), returned, now + ms(500));
+    view.observe_row(&reading(&group_row("a", 1), returned, now + ms(500)));
     expect_that!(view.revision(), eq(returned));
     expect_that!(view.row(), some(eq(&group_row("b", 2))));
 }
--- a/crates/coordination/tests/managed_model.rs
+++ b/crates/coordination/tests/managed_model.rs
@@ -24,10 +24,12 @@
     use std::time::Instant;
 
     use coordination::managed::change_steps::OrderOutcome;
+    use coordination::managed::era::EraRow;
     use coordination::managed::primary_view::GroupRow;
     use coordination::managed::promotion_lease::PromotionLease;
     use state::log::{LogPosition, Term};
     use state::member::MemberRole;
+    use state::reading::StoreEra;
     use state::server_list::ListedServer;
 
     /// Variant of the decision code. All but the first are wrong on purpose, to
@@ -46,6 +48,15 @@
         AnyReplica,
         /// The end of another holder's promotion lease is not waited for.
         NoLease,
+        /// Revisions of different eras are compared by number.
+        LargerRevision,
+        /// The row of a newer era replaces the known one although its term is older.
+        ForgetTerm,
+        /// Writes are conditional on the revision alone, and an order is sent without
+        /// confirming the era.
+        KeepCondition,
+        /// A row without a change assures its primary in an era that is not settled.
+        TrustAtOnce,
     }
 
     /// A rule that a run broke.
@@ -62,6 +73,15 @@
         NoRecovery,
     }
 
+    /// Which faults a run draws from.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum Scenario {
+        /// The store loses nothing that it acknowledged.
+        Durable,
+        /// The store also returns from older copies.
+        Returning,
+    }
+
     #[derive(Clone, Debug)]
     pub struct Violation {
         pub kind: ViolationKind,
@@ -80,6 +100,7 @@
     pub enum RowValue {
         Lease(PromotionLease),
         Group(GroupRow),
+        Marker(StoreEra, EraRow),
     }
 
     #[derive(Clone, Copy, Debug)]
@@ -103,6 +124,8 @@
         ReadList,
         WriteRow {
             expected: u64,
+            /// Era and revision of the marker row that must exist.
+            guard: Option<(StoreEra, u64)>,
             value: RowValue,
         },
         Promote {
@@ -116,6 +139,8 @@
     #[derive(Clone, Debug)]
     pub enum Answer {
         Rows {
+            era: StoreEra,
+            marker: Option<(EraRow, u64)>,
             group_row: Option<(GroupRow, u64)>,
             lease: Option<(PromotionLease, u64)>,
             store_time: std::time::Duration,
@@ -161,7 +186,7 @@
 
 use googletest::prelude::*;
 use managed_model::world::{RunFigures, World};
-use managed_model::{Decision, Violation, ViolationKind};
+use managed_model::{Decision, Scenario, Violation, ViolationKind};
 use seeds::env_number;
 
 /// First seed and number of runs in continuous integration.
@@ -177,13 +202,13 @@
     violation: Option<Violation>,
 }
 
-fn run_seeds(first: u64, runs: u64, decision: Decision) -> Vec<RunReport> {
+fn run_seeds(first: u64, runs: u64, decision: Decision, scenario: Scenario) -> Vec<RunReport> {
     let trace = env_number("CASSIA_TRACE", 0) > 0;
     let run_part = |part: u64| -> Vec<RunReport> {
         let seeds = (first..first + runs).filter(|seed| seed % THREADS == part);
         seeds
             .map(|seed| {
-                let mut world = World::new(seed, decision, trace);
+                let mut world = World::new(seed, decision, scenario, trace);
                 let violation = world.run();
                 RunReport {
                     seed,
@@ -213,7 +238,21 @@
 fn the_rules_hold_under_random_faults() {
     let first = env_number("CASSIA_SEED", FIRST_SEED);
     let runs = env_number("CASSIA_RUNS", RUNS);
-    let reports = run_seeds(first, runs, Decision::Correct);
+    check_seeds(first, runs, Scenario::Durable);
+}
+
+/// Guards against the same failures, and against a term that is given out twice, a write
+/// of a former era that takes effect and a row that is not written again, when the
+/// store returns from older copies.
+#[gtest]
+fn the_rules_hold_when_the_store_returns_from_a_copy() {
+    let first = env_number("CASSIA_SEED", FIRST_SEED);
+    let runs = env_number("CASSIA_RUNS", RUNS);
+    check_seeds(first, runs, Scenario::Returning);
+}
+
+fn check_seeds(first: u64, runs: u64, scenario: Scenario) {
+    let reports = run_seeds(first, runs, Decision::Correct, scenario);
     let mut total = RunFigures::default();
     for report in &reports {
         total.add(&report.figures);
@@ -246,7 +285,7 @@
 #[gtest]
 fn seeds_that_failed_in_the_past_pass() {
     for seed in SEEDS_THAT_FAILED {
-        let report = run_seeds(seed, 1, Decision::Correct).remove(0);
+        let report = run_seeds(seed, 1, Decision::Correct, Scenario::Durable).remove(0);
         let violation = report.violation.map(|found| found.text);
         expect_that!(violation, none(), "seed {seed}");
     }
@@ -257,32 +296,58 @@
 fn the_model_detects_wrong_decisions() {
     struct WrongCase {
         decision: Decision,
+        scenario: Scenario,
         expected: ViolationKind,
     }
     let cases = [
         WrongCase {
             decision: Decision::NoAssurance,
+            scenario: Scenario::Durable,
             expected: ViolationKind::SupersededCommit,
         },
         WrongCase {
             decision: Decision::AnyAssurance,
+            scenario: Scenario::Durable,
             expected: ViolationKind::SupersededCommit,
         },
         WrongCase {
             decision: Decision::NoFence,
+            scenario: Scenario::Durable,
             expected: ViolationKind::SupersededCommit,
         },
         WrongCase {
             decision: Decision::AnyReplica,
+            scenario: Scenario::Durable,
             expected: ViolationKind::StaleRead,
         },
         WrongCase {
             decision: Decision::NoLease,
+            scenario: Scenario::Durable,
             expected: ViolationKind::OverlappingHolders,
         },
+        WrongCase {
+            decision: Decision::LargerRevision,
+            scenario: Scenario::Returning,
+            expected: ViolationKind::NoRecovery,
+        },
+        WrongCase {
+            decision: Decision::ForgetTerm,
+            scenario: Scenario::Returning,
+            expected: ViolationKind::SupersededCommit,
+        },
+        WrongCase {
+            decision: Decision::KeepCondition,
+            scenario: Scenario::Returning,
+            expected: ViolationKind::OverlappingHolders,
+        },
+        WrongCase {
+            decision: Decision::TrustAtOnce,
+            scenario: Scenario::Returning,
+            expected: ViolationKind::SupersededCommit,
+        },
     ];
     for case in cases {
-        let reports = run_seeds(FIRST_SEED, WRONG_RUNS, case.decision);
+        let reports = run_seeds(FIRST_SEED, WRONG_RUNS, case.decision, case.scenario);
         let caught = reports.iter().filter(|report| {
             let violation = report.violation.as_ref();
             violation.is_some_and(|violation| violation.kind == case.expected)
--- a/crates/coordination/tests/managed_model/entry_host.rs
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -9,8 +9,11 @@
 use coordination::managed::dispatch::{
     choose_primary, choose_read, HostLocation, MemberChoice, RequestedRead,
 };
+use coordination::managed::era::{EraMarker, EraRow, SETTLE_TIME};
 use coordination::managed::group::{ContactFailure, ManagedGroup};
-use coordination::managed::primary_view::{AssuranceState, GroupRow, RoundReply};
+use coordination::managed::primary_view::{
+    AssuranceState, GroupRow, PrimaryView, RoundReply, RowReading,
+};
 use coordination::managed::promotion_lease::LeaseReading;
 use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
@@ -59,6 +62,7 @@
     Rows,
     List,
     Lease,
+    Marker,
     ChangeWrite {
         is_group_row: bool,
     },
@@ -98,6 +102,8 @@
     awaited_replies: usize,
     replies: Vec<CandidateStatus>,
     row: Option<GroupRow>,
+    /// Marker of the era in which the change began.
+    marker: Option<EraMarker>,
 }
 
 /// An answered statement whose result is passed on once the primary is assured.
@@ -126,6 +132,10 @@
     sessions: [Option<LogPosition>; SESSIONS],
     listed_at: Option<Instant>,
     returned_at: Option<Instant>,
+    /// Newest era that an answer of the store showed.
+    era: Option<StoreEra>,
+    /// Marker of that era.
+    marker: Option<EraMarker>,
     pub replica_reads: u64,
 }
 
@@ -147,6 +157,8 @@
             sessions: [None; SESSIONS],
             listed_at: None,
             returned_at: None,
+            era: None,
+            marker: None,
             replica_reads: 0,
         }
     }
@@ -253,6 +265,7 @@
                 awaited_replies: 0,
                 replies: Vec::new(),
                 row: None,
+                marker: None,
             });
             self.step(StepOutcome::Started, now, out);
         }
@@ -328,13 +341,17 @@
             ChangeStep::WriteLease {
                 row,
                 expected_revision,
-            } => self.write_row(RowValue::Lease(row), expected_revision, now, out),
+            } => {
+                let marker = change.marker;
+                self.write_row(RowValue::Lease(row), expected_revision, marker, now, out);
+            }
             ChangeStep::WriteGroupRow {
                 row,
                 expected_revision,
             } => {
                 change.row = Some(row.clone());
-                self.write_row(RowValue::Group(row), expected_revision, now, out);
+                let marker = change.marker;
+                self.write_row(RowValue::Group(row), expected_revision, marker, now, out);
             }
             ChangeStep::StepDown { .. } if self.decision == Decision::NoFence => {
                 self.change = Some(change);
@@ -377,11 +394,27 @@
         self.change = Some(change);
     }
 
-    fn write_row(&mut self, value: RowValue, expected: u64, now: Instant, out: &mut Outbox) {
+    fn write_row(
+        &mut self,
+        value: RowValue,
+        expected: u64,
+        marker: Option<EraMarker>,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
         let kind = CallKind::ChangeWrite {
             is_group_row: matches!(value, RowValue::Group(_)),
         };
-        let request = Request::WriteRow { expected, value };
+        let has_guard = !matches!(
+            self.decision,
+            Decision::KeepCondition | Decision::LargerRevision
+        );
+        let guard = marker.filter(|_| has_guard);
+        let request = Request::WriteRow {
+            expected,
+            guard: guard.map(|marker| (marker.era, marker.revision)),
+            value,
+        };
         self.ask_store(kind, request, now, out);
     }
 
@@ -415,8 +448,8 @@
     fn finish(&mut self, call: OpenCall, answer: Option<Answer>, now: Instant, out: &mut Outbox) {
         match call.kind {
             CallKind::Rows => {
-                if let Some(Answer::Rows { group_row, .. }) = answer {
-                    self.observe_group_row(group_row, call.sent_at, now);
+                if let Some(answer) = answer {
+                    self.observe_rows(&answer, call.sent_at, now, out);
                 }
                 let interval = self.group.primary_view.read_interval(now);
                 out.timers.push((now + interval, Timer::Rows));
@@ -431,6 +464,8 @@
                 }
                 out.timers.push((now + LIST_INTERVAL, Timer::List));
             }
+            // The next read shows whether the marker was written.
+            CallKind::Marker => {}
             CallKind::Lease => self.finish_lease_read(answer, call.sent_at, now, out),
             CallKind::ChangeWrite { is_group_row } => {
                 self.finish_change_write(is_group_row, answer, call.sent_at, now, out);
@@ -475,16 +510,74 @@
         }
     }
 
+    /// Records a reading of the store's rows. Returns whether it may be used; a reading
+    /// of a former era may not.
+    fn observe_rows(
+        &mut self,
+        answer: &Answer,
+        asked_at: Instant,
+        now: Instant,
+        out: &mut Outbox,
+    ) -> bool {
+        let Answer::Rows {
+            era,
+            marker,
+            group_row,
+            store_time,
+            ..
+        } = answer
+        else {
+            return false;
+        };
+        if self.era > Some(*era) {
+            return false;
+        }
+        if self.era.is_some_and(|known| known < *era) {
+            self.returned_at = Some(now);
+            if self.decision == Decision::ForgetTerm {
+                self.group.primary_view = PrimaryView::default();
+            }
+        }
+        self.era = Some(*era);
+        self.marker =
+            marker.map(|(row, revision)| EraMarker::new(*era, revision, row, *store_time));
+        if self.marker.is_none() {
+            let request = Request::WriteRow {
+                expected: 0,
+                guard: None,
+                value: RowValue::Marker(*era, EraRow::new(*store_time)),
+            };
+            self.ask_store(CallKind::Marker, request, now, out);
+        }
+        match group_row {
+            Some((row, revision)) => {
+                let revision = StoreRevision::new(*era, *revision);
+                self.observe_group_row(row, revision, asked_at, now);
+            }
+            None => self.group.primary_view.observe_absence(*era),
+        }
+        true
+    }
+
     fn observe_group_row(
         &mut self,
-        group_row: Option<(GroupRow, u64)>,
+        row: &GroupRow,
+        mut revision: StoreRevision,
         asked_at: Instant,
         now: Instant,
     ) {
-        if let Some((row, revision)) = group_row {
-            let revision = StoreRevision::new(StoreEra(0), revision);
-            self.group.observe_row(&row, revision, asked_at, now);
+        if self.decision == Decision::LargerRevision {
+            revision.era = StoreEra::default();
         }
+        let trusts = matches!(self.decision, Decision::TrustAtOnce | Decision::ForgetTerm);
+        let is_settled = trusts || self.marker.is_some_and(|marker| marker.is_settled());
+        let reading = RowReading {
+            row,
+            revision,
+            asked_at,
+            is_settled,
+        };
+        self.group.observe_row(&reading, now);
     }
 
     fn finish_lease_read(
@@ -494,12 +587,35 @@
         now: Instant,
         out: &mut Outbox,
     ) {
+        let is_confirming = |change: &RunningChange| change.procedure.is_confirming();
+        let is_confirming = self.change.as_ref().is_some_and(is_confirming);
+        let is_current = answer
+            .as_ref()
+            .is_some_and(|answer| self.observe_rows(answer, asked_at, now, out));
         let Some(Answer::Rows {
             lease, store_time, ..
-        }) = answer
+        }) = answer.filter(|_| is_current)
         else {
+            return match is_confirming {
+                true => self.step(StepOutcome::LeaseUnknown, now, out),
+                false => self.abandon_change(now),
+            };
+        };
+        let Some(mut marker) = self.marker else {
             return self.abandon_change(now);
         };
+        if self.decision == Decision::LargerRevision {
+            marker.era = StoreEra::default();
+        }
+        if let Some(change) = &mut self.change {
+            let began_in = *change.marker.get_or_insert(marker);
+            if self.decision == Decision::KeepCondition {
+                marker = EraMarker {
+                    age: SETTLE_TIME,
+                    ..began_in
+                };
+            }
+        }
         let revision = lease.as_ref().map_or(0, |(_, revision)| *revision);
         let mut row = lease.map(|(row, _)| row);
         if self.decision == Decision::NoLease {
@@ -510,6 +626,7 @@
         let reading = LeaseReading {
             row,
             revision,
+            marker,
             store_time,
             asked_at,
         };
@@ -529,9 +646,13 @@
             Some(Answer::Conflict) => StepOutcome::Conflict,
             _ => return self.abandon_change(now),
         };
-        let row = self.change.as_mut().and_then(|change| change.row.take());
+        let change = self.change.as_mut();
+        let written = change.and_then(|change| change.row.take().zip(change.marker));
         if let (true, StepOutcome::Written { revision }) = (is_group_row, &outcome) {
-            self.observe_group_row(row.map(|row| (row, *revision)), asked_at, now);
+            if let Some((row, marker)) = written {
+                let revision = StoreRevision::new(marker.era, *revision);
+                self.observe_group_row(&row, revision, asked_at, now);
+            }
         }
         self.step(outcome, now, out);
     }
--- a/crates/coordination/tests/managed_model/platform.rs
+++ b/crates/coordination/tests/managed_model/platform.rs
@@ -4,10 +4,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use coordination::managed::era::EraRow;
 use coordination::managed::primary_view::GroupRow;
 use coordination::managed::promotion_lease::PromotionLease;
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
+use state::reading::StoreEra;
 use state::server_list::{ListedServer, ServerState};
 
 use super::{Answer, MemberRequest, RowValue};
@@ -81,7 +83,7 @@
     })
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoredRow<T> {
     value: Option<T>,
     revision: u64,
@@ -99,11 +101,31 @@
     base: Instant,
     pub members: Vec<Member>,
     pub promotions: Vec<Promotion>,
+    /// Number of times that the store returned from an older copy.
+    returns: u64,
+    contents: Contents,
+    /// The contents after each write, and when they were written.
+    copies: Vec<(Instant, Contents)>,
+}
+
+/// The rows of the store, which it loses when it returns from an older copy.
+#[derive(Clone, Debug)]
+struct Contents {
     lease: StoredRow<PromotionLease>,
     group_row: StoredRow<GroupRow>,
+    /// The era of the marker row, and the row.
+    marker: (StoreEra, StoredRow<EraRow>),
     revision: u64,
 }
 
+impl Contents {
+    /// Returns whether the marker row is the one that a write is conditional on.
+    fn matches(&self, guard: (StoreEra, u64)) -> bool {
+        let (era, row) = &self.marker;
+        guard == (*era, row.revision) && row.value.is_some()
+    }
+}
+
 impl Platform {
     pub fn new(base: Instant) -> Self {
         let member = |index: usize| Member {
@@ -124,56 +146,102 @@
             term: Term(1),
             change: None,
         };
-        Self {
+        let mut platform = Self {
             base,
             members: (0..MEMBERS).map(member).collect(),
             promotions: Vec::new(),
-            lease: StoredRow {
-                value: None,
-                revision: 0,
-            },
-            group_row: StoredRow {
-                value: Some(group_row),
+            returns: 0,
+            contents: Contents {
+                lease: StoredRow {
+                    value: None,
+                    revision: 0,
+                },
+                group_row: StoredRow {
+                    value: Some(group_row),
+                    revision: 1,
+                },
+                marker: (
+                    StoreEra(0),
+                    StoredRow {
+                        value: None,
+                        revision: 0,
+                    },
+                ),
                 revision: 1,
             },
-            revision: 1,
+            copies: Vec::new(),
+        };
+        platform.copies.push((base, platform.contents.clone()));
+        platform
+    }
+
+    fn era(&self) -> StoreEra {
+        StoreEra(self.returns + 1)
+    }
+
+    /// Lets the store return from its copy of `instant`, in a new era.
+    pub fn restore(&mut self, instant: Instant) {
+        self.copies.retain(|(at, _)| *at <= instant);
+        if let Some((_, copy)) = self.copies.last() {
+            self.contents = copy.clone();
         }
+        self.returns += 1;
     }
 
     pub fn read_rows(&self, now: Instant) -> Answer {
-        let group_row = self.group_row.value.clone();
-        let lease = self.lease.value.clone();
+        let contents = &self.contents;
+        let group_row = contents.group_row.value.clone();
+        let lease = contents.lease.value.clone();
+        let (era, marker) = &contents.marker;
+        let marker = marker.value.filter(|_| *era == self.era());
         Answer::Rows {
-            group_row: group_row.map(|row| (row, self.group_row.revision)),
-            lease: lease.map(|row| (row, self.lease.revision)),
+            era: self.era(),
+            marker: marker.map(|row| (row, contents.marker.1.revision)),
+            group_row: group_row.map(|row| (row, contents.group_row.revision)),
+            lease: lease.map(|row| (row, contents.lease.revision)),
             store_time: now - self.base,
         }
     }
 
-    pub fn write_row(&mut self, expected: u64, value: RowValue) -> Answer {
-        let known = match value {
-            RowValue::Lease(_) => self.lease.revision,
-            RowValue::Group(_) => self.group_row.revision,
+    /// Writes a row if it has the expected revision and the marker row matches `guard`.
+    pub fn write_row(
+        &mut self,
+        expected: u64,
+        guard: Option<(StoreEra, u64)>,
+        value: RowValue,
+        now: Instant,
+    ) -> Answer {
+        let contents = &mut self.contents;
+        let known = match &value {
+            RowValue::Lease(_) => contents.lease.revision,
+            RowValue::Group(_) => contents.group_row.revision,
+            RowValue::Marker(era, _) if *era == contents.marker.0 => contents.marker.1.revision,
+            RowValue::Marker(..) => 0,
         };
-        if known != expected {
+        if known != expected || guard.is_some_and(|guard| !contents.matches(guard)) {
             return Answer::Conflict;
         }
-        self.revision += 1;
-        let revision = self.revision;
+        contents.revision += 1;
+        let revision = contents.revision;
         match value {
             RowValue::Lease(row) => {
-                self.lease = StoredRow {
+                contents.lease = StoredRow {
                     value: Some(row),
                     revision,
                 }
             }
             RowValue::Group(row) => {
-                self.group_row = StoredRow {
+                contents.group_row = StoredRow {
                     value: Some(row),
                     revision,
                 }
             }
+            RowValue::Marker(era, row) => {
+                let value = Some(row);
+                contents.marker = (era, StoredRow { value, revision });
+            }
         }
+        self.copies.push((now, contents.clone()));
         Answer::Written { revision }
     }
 
--- a/crates/coordination/tests/managed_model/world.rs
+++ b/crates/coordination/tests/managed_model/world.rs
@@ -10,7 +10,8 @@
 use super::entry_host::{EntryHost, Operation, OperationKind, Timer, SESSIONS};
 use super::platform::{Platform, MEMBERS};
 use super::{
-    Answer, Decision, Delivery, Endpoint, MemberRequest, Outbox, Request, Violation, ViolationKind,
+    Answer, Decision, Delivery, Endpoint, MemberRequest, Outbox, Request, Scenario, Violation,
+    ViolationKind,
 };
 use coordination::managed::change_steps::OrderOutcome;
 
@@ -55,6 +56,10 @@
     KillAllHosts,
     /// The primary reaches only one host, which does not reach the store.
     SplitPrimary(usize),
+    /// The store is away, and returns from an older copy.
+    StoreReturns,
+    /// The same, soon after a change of primary began.
+    StoreReturnsInChange,
 }
 
 #[derive(Clone, Debug)]
@@ -160,6 +165,7 @@
     random: StdRng,
     trace: bool,
     decision: Decision,
+    scenario: Scenario,
     base: Instant,
     now: Instant,
     events: BTreeMap<(Instant, u64), Event>,
@@ -184,12 +190,13 @@
 }
 
 impl World {
-    pub fn new(seed: u64, decision: Decision, trace: bool) -> Self {
+    pub fn new(seed: u64, decision: Decision, scenario: Scenario, trace: bool) -> Self {
         let base = Instant::now();
         let mut world = Self {
             random: StdRng::seed_from_u64(seed),
             trace,
             decision,
+            scenario,
             base,
             now: base,
             events: BTreeMap::new(),
@@ -244,6 +251,12 @@
     }
 
     fn draw_fault(&mut self) -> FaultKind {
+        if self.scenario == Scenario::Returning && self.random.random_bool(0.4) {
+            return match self.random.random_bool(0.5) {
+                true => FaultKind::StoreReturns,
+                false => FaultKind::StoreReturnsInChange,
+            };
+        }
         let host = self.random.random_range(0..HOSTS);
         let member = self.random.random_range(0..MEMBERS);
         let kinds = [
@@ -536,7 +549,11 @@
         let answer = match request {
             Request::ReadRows => self.platform.read_rows(self.now),
             Request::ReadList => self.platform.list(self.now),
-            Request::WriteRow { expected, value } => self.platform.write_row(expected, value),
+            Request::WriteRow {
+                expected,
+                guard,
+                value,
+            } => self.platform.write_row(expected, guard, value, self.now),
             request => panic!("{request:?} is not sent to the store"),
         };
         if is_write
@@ -830,6 +847,7 @@
     fn begin_fault(&mut self, kind: FaultKind) {
         let length = match kind {
             FaultKind::SplitPrimary(_) => self.millis(4_000, 9_000),
+            FaultKind::StoreReturns => self.millis(50, 2_500),
             _ => self.millis(300, 6_000),
         };
         if self.trace {
@@ -847,6 +865,17 @@
             FaultKind::StoreSlow => effect.store_slow = true,
             FaultKind::OrdersLost => effect.orders_lost = true,
             FaultKind::Lag => effect.lag = true,
+            FaultKind::StoreReturns => {
+                effect.store_down = true;
+                let lost = self.millis(500, 9_000);
+                self.platform.restore(self.now - lost);
+            }
+            FaultKind::StoreReturnsInChange => {
+                self.crash(self.primary(), length, false);
+                let delay = self.millis(1_000, 4_500);
+                self.faults_end += delay;
+                self.after(delay, Event::Begin(FaultKind::StoreReturns));
+            }
             _ => {}
         }
         let id = self.next_effect;
--- a/crates/coordination/tests/managed_relay.rs
+++ b/crates/coordination/tests/managed_relay.rs
@@ -11,7 +11,7 @@
 };
 use coordination::managed::store_clock::StoreClock;
 use googletest::prelude::*;
-use managed_support::{announcement, group_of_three, group_row, ms, revision};
+use managed_support::{announcement, group_of_three, group_row, ms, reading, revision};
 use state::reading::LiveHost;
 
 /// Creates live hosts from data centre and name, in the order in which they joined.
@@ -408,7 +408,7 @@
         if case.changing {
             let mut row = group_row("a", 1);
             row.change = Some(announcement());
-            group.observe_row(&row, revision(9), now, now);
+            group.observe_row(&reading(&row, revision(9), now), now);
         }
         group.primary_view.update_change_times(now);
         let interval = group.primary_view.read_interval(now + case.elapsed);
--- a/crates/coordination/tests/managed_steps.rs
+++ b/crates/coordination/tests/managed_steps.rs
@@ -14,7 +14,7 @@
 use coordination::managed::primary_view::ASSURANCE_DURATION;
 use coordination::managed::promotion_lease::{LeaseReading, PromotionLease};
 use googletest::prelude::*;
-use managed_support::{group_of_three, ms};
+use managed_support::{group_of_three, marker, ms};
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 
@@ -41,10 +41,18 @@
         self.procedure.next(&self.group, outcome, now)
     }
 
+    /// Passes an outcome that leads to a promotion order, and confirms the era.
+    fn next_confirmed(&mut self, outcome: StepOutcome, millis: u64) -> ChangeStep {
+        assert_eq!(self.next(outcome, millis), ChangeStep::ReadLease);
+        let lease = self.lease(None);
+        self.next(lease, millis)
+    }
+
     fn lease(&self, row: Option<PromotionLease>) -> StepOutcome {
         StepOutcome::Lease(LeaseReading {
             row,
             revision: 4,
+            marker: marker(),
             store_time: Duration::from_secs(60),
             asked_at: self.started,
         })
@@ -133,7 +141,7 @@
         fencing_token: 1,
     };
     expect_that!(
-        driver.next(StepOutcome::Waited, assurance + 150),
+        driver.next_confirmed(StepOutcome::Waited, assurance + 150),
         eq(&order)
     );
     expect_that!(
@@ -205,7 +213,7 @@
     );
     let complete = StepOutcome::Polled(vec![driver.candidate("c", MemberRole::Replica, 1, 42)]);
     expect_that!(
-        driver.next(complete, 490),
+        driver.next_confirmed(complete, 490),
         eq(&ChangeStep::Promote {
             member: successor,
             fencing_token: 1
@@ -222,7 +230,7 @@
     driver.next(StepOutcome::SteppedDown(Some(end)), 430);
     let behind = driver.replicas();
     expect_that!(
-        driver.next(behind, 940),
+        driver.next_confirmed(behind, 940),
         matches_pattern!(ChangeStep::Promote { .. })
     );
 }
@@ -247,14 +255,17 @@
     driver.announce();
     driver.next(StepOutcome::SteppedDown(Some(LogPosition::new(1, 1))), 30);
     let replicas = driver.replicas();
-    let order = driver.next(replicas, 40);
+    let order = driver.next_confirmed(replicas, 40);
     expect_that!(order, matches_pattern!(ChangeStep::Promote { .. }));
     let unknown = || StepOutcome::Ordered(OrderOutcome::Unknown);
     expect_that!(
         driver.next(unknown(), 840),
         matches_pattern!(ChangeStep::Wait { .. })
     );
-    expect_that!(driver.next(StepOutcome::Waited, 1_040), eq(&order));
+    expect_that!(
+        driver.next_confirmed(StepOutcome::Waited, 1_040),
+        eq(&order)
+    );
     expect_that!(
         driver.next(unknown(), 2_700),
         matches_pattern!(ChangeStep::Wait { .. })
@@ -313,7 +324,7 @@
                 driver.announce();
                 driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
                 let replicas = driver.replicas();
-                driver.next(replicas, 40);
+                driver.next_confirmed(replicas, 40);
                 driver.next(StepOutcome::Ordered(OrderOutcome::Rejected), 50)
             },
             expected: ChangeFailure::NoCandidate,
@@ -324,7 +335,7 @@
                 driver.announce();
                 driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
                 let replicas = driver.replicas();
-                driver.next(replicas, 40);
+                driver.next_confirmed(replicas, 40);
                 driver.next(StepOutcome::Ordered(OrderOutcome::Accepted), 50);
                 driver.next(StepOutcome::Status(None), 2_600)
             },
--- a/crates/coordination/tests/support/managed.rs
+++ b/crates/coordination/tests/support/managed.rs
@@ -4,8 +4,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use coordination::managed::era::{EraMarker, SETTLE_TIME};
 use coordination::managed::group::ManagedGroup;
-use coordination::managed::primary_view::{AnnouncedChange, GroupRow};
+use coordination::managed::primary_view::{AnnouncedChange, GroupRow, RowReading};
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 use state::reading::{StoreEra, StoreRevision};
@@ -43,6 +44,25 @@
     StoreRevision::new(StoreEra(0), number)
 }
 
+/// Returns a reading of a row in an era that is settled.
+pub fn reading(row: &GroupRow, revision: StoreRevision, asked_at: Instant) -> RowReading<'_> {
+    RowReading {
+        row,
+        revision,
+        asked_at,
+        is_settled: true,
+    }
+}
+
+/// Returns the marker of the store's first era, which is settled.
+pub fn marker() -> EraMarker {
+    EraMarker {
+        era: StoreEra(0),
+        revision: 1,
+        age: SETTLE_TIME,
+    }
+}
+
 pub fn announcement() -> AnnouncedChange {
     AnnouncedChange {
         host: "host-1".to_owned(),
@@ -54,12 +74,8 @@
 /// Records a read of the group's row without an announced change. The revision of
 /// the row is the same as its term.
 pub fn observe_primary(group: &mut ManagedGroup, primary: &str, term: u64, asked_at: Instant) {
-    group.observe_row(
-        &group_row(primary, term),
-        revision(term),
-        asked_at,
-        asked_at,
-    );
+    let row = group_row(primary, term);
+    group.observe_row(&reading(&row, revision(term), asked_at), asked_at);
 }
 
 /// Returns a group with the primary `a` in `dc-1` and the replicas `b` and `c` in
--- a/crates/protocol/src/relay.rs
+++ b/crates/protocol/src/relay.rs
@@ -36,7 +36,7 @@
     /// The readings that the host has.
     pub known: KnownReadings,
     /// Newest era of the store that the host knows.
-    pub era: StoreEra,
+    pub era: Option<StoreEra>,
     /// Reports of the host and of those that fetch readings from it.
     pub reports: Vec<HostReport>,
 }
@@ -65,7 +65,7 @@
     pub known: KnownReadings,
     /// Newest era of the store that the sender knows. The times and the digests are
     /// of this era.
-    pub era: StoreEra,
+    pub era: Option<StoreEra>,
     /// A time that the store's clock had not passed when the request arrived;
     /// `None` if the sender does not know one.
     pub latest_time: Option<Duration>,
--- a/crates/state/src/reading.rs
+++ b/crates/state/src/reading.rs
@@ -96,8 +96,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct PlanReading {
-    /// The newest plan; `None` if the read returned none.
+    /// The newest plan that the sender knows; `None` if the read returned none.
     pub plan: Option<RoutePlan>,
+    /// Version of the plan that the store has; `None` if the read does not show it. A
+    /// host that passes the reading on may know a newer plan, which the store lost.
+    pub stored_version: Option<u64>,
     /// Newest revision of the store at the time of the read.
     pub revision: StoreRevision,
     /// The store's monotonic clock at the time of the read.
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -8,7 +8,8 @@
 use coordination::managed::change_steps::{
     ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome,
 };
-use coordination::managed::primary_view::GroupRow;
+use coordination::managed::era::EraMarker;
+use coordination::managed::primary_view::{GroupRow, RowReading};
 use coordination::managed::promotion_lease::{LeaseReading, PromotionLease};
 use futures::future::join_all;
 use state::clock::MonotonicClock;
@@ -21,10 +22,11 @@
 use super::context::HostContext;
 use super::group_runtime::GroupRuntime;
 use super::host_platform::{
-    ControlTable, ControlWrite, HostPlatform, PromotionAnswer, PromotionOrder, ServiceError,
-    StoreRevision,
+    ControlTable, HostPlatform, PromotionAnswer, PromotionOrder, ServiceError, StoreRevision,
+};
+use super::store_follower::{
+    apply_group_rows, encode_row, group_key, mark_era, write_group_row, write_in_era,
 };
-use super::store_follower::{encode_row, group_key, write_group_row};
 use crate::services::WriteAnswer;
 
 /// Key of the promotion lease's row.
@@ -128,14 +130,33 @@
     ) -> Result<(String, Term)> {
         let mut procedure = ChangeProcedure::new(self.host(), self.incarnation, reason);
         let mut outcome = StepOutcome::Started;
+        // All writes of the attempt are conditional on the era in which it began.
+        let mut marker: Option<EraMarker> = None;
         loop {
             let now = self.context.clock.now();
             outcome = match group.with(|group| procedure.next(group, outcome, now)) {
-                ChangeStep::ReadLease => StepOutcome::Lease(self.read_lease().await?),
+                ChangeStep::ReadLease => match self.read_lease().await {
+                    Ok(reading) => {
+                        marker.get_or_insert(reading.marker);
+                        StepOutcome::Lease(reading)
+                    }
+                    Err(error) if procedure.is_confirming() => {
+                        let error = error.to_string();
+                        log::warn!(
+                            group = group.name.as_str(), error = error.as_str();
+                            "promotion waits for the store"
+                        );
+                        StepOutcome::LeaseUnknown
+                    }
+                    Err(error) => return Err(error),
+                },
                 ChangeStep::WriteLease {
                     row,
                     expected_revision,
-                } => self.write_lease(&row, expected_revision).await?,
+                } => {
+                    let marker = marker.ok_or(ChangeError::Failed(ChangeFailure::EraEnded))?;
+                    self.write_lease(&row, expected_revision, &marker).await?
+                }
                 ChangeStep::WriteGroupRow {
                     row,
                     expected_revision,
@@ -147,7 +168,9 @@
                             "change of primary begins"
                         );
                     }
-                    self.write_group_row(group, &row, expected_revision).await?
+                    let marker = marker.ok_or(ChangeError::Failed(ChangeFailure::EraEnded))?;
+                    self.write_group_row(group, &row, expected_revision, &marker)
+                        .await?
                 }
                 ChangeStep::StepDown { member, term } => {
                     StepOutcome::SteppedDown(step_down(group, member, term).await)
@@ -176,10 +199,17 @@
     async fn read_lease(&self) -> Result<LeaseReading> {
         let asked_at = self.context.clock.now();
         let reading = self.platform.read_table(ControlTable::Groups).await?;
+        if !self.context.admit_era(reading.revision) {
+            return Err(ChangeError::Failed(ChangeFailure::EraEnded));
+        }
+        apply_group_rows(&self.context, &reading, asked_at);
+        let marker = mark_era(&self.context, &self.platform, &reading).await;
+        let marker = marker.ok_or(ChangeError::Failed(ChangeFailure::Conflict))?;
         let row = reading.rows.iter().find(|row| row.key == LEASE_KEY);
         Ok(LeaseReading {
             row: row.and_then(|row| decode_lease(&row.value)),
             revision: row.map_or(0, |row| row.revision),
+            marker,
             store_time: reading.store_time,
             asked_at,
         })
@@ -189,15 +219,11 @@
         &self,
         row: &PromotionLease,
         expected_revision: u64,
+        marker: &EraMarker,
     ) -> Result<StepOutcome> {
         let value = encode_row(row);
-        let write = ControlWrite {
-            table: ControlTable::Groups,
-            key: LEASE_KEY,
-            expected_revision,
-            value: &value,
-        };
-        let answer = self.platform.write_row(&write).await?;
+        let platform = &self.platform;
+        let answer = write_in_era(platform, LEASE_KEY, expected_revision, marker, &value).await?;
         self.record_write(LEASE_KEY, expected_revision, &answer);
         let outcome = write_outcome(&answer);
         if outcome != StepOutcome::Conflict {
@@ -211,14 +237,21 @@
         group: &GroupRuntime<K, C>,
         row: &GroupRow,
         expected_revision: u64,
+        marker: &EraMarker,
     ) -> Result<StepOutcome> {
         let asked_at = self.context.clock.now();
-        let answer = write_group_row(&self.platform, &group.name, expected_revision, row).await?;
+        let name = &group.name;
+        let answer = write_group_row(&self.platform, name, expected_revision, marker, row).await?;
         self.record_write(&group_key(&group.name), expected_revision, &answer);
         let outcome = write_outcome(&answer);
         if let StepOutcome::Written { revision } = outcome {
-            let era = group.with(|group| group.primary_view.revision().era);
-            group.observe_row(row, StoreRevision::new(era, revision), asked_at);
+            let newest = self.context.relay.marker();
+            group.observe_row(&RowReading {
+                row,
+                revision: StoreRevision::new(marker.era, revision),
+                asked_at,
+                is_settled: newest.is_some_and(|marker| marker.is_settled()),
+            });
         }
         Ok(outcome)
     }
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -5,19 +5,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use coordination::managed::plan_view::{PlanChange, PlanView};
 use coordination::retry::{RetryBudget, RetryPolicy};
 use slotmap::SlotMap;
 use state::clock::MonotonicClock;
 use state::entry::EntrySettings;
 use state::keys::CustomerKey;
 use state::plan::RoutePlan;
-use state::reading::{LiveHost, StoreRevision};
+use state::reading::{LiveHost, PlanReading, StoreRevision};
 use tokio::sync::watch;
 
 use super::codec::StatementCodec;
 use super::group_runtime::GroupRuntime;
 use super::metrics::EntryMetrics;
-use super::relay::RelayHub;
+use super::relay::{EraOrder, RelayHub};
 use super::store_follower::ServerListHistory;
 
 /// Retries per 100 requests, in addition to [`RETRY_FLOOR_PER_S`]; as in
@@ -25,9 +26,6 @@
 const RETRY_PERCENT: u64 = 10;
 /// Retries per second that are always allowed; as in `AdmissionLimits`.
 const RETRY_FLOOR_PER_S: u64 = 10;
-/// Age of the plan up to which a database without a route counts as unknown.
-/// Operators expect a new version to be in force within this time.
-const PLAN_MAX_AGE: Duration = Duration::from_secs(3);
 
 /// Phase of the process between start and stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,15 +38,6 @@
     Stopping,
 }
 
-/// The plan in force and how recently it was confirmed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PlanInForce {
-    /// The plan; `None` until the first one is read.
-    pub(crate) plan: Option<Arc<RoutePlan>>,
-    /// Start of the last read that found no newer plan than this one.
-    pub(crate) confirmed_at: Option<Instant>,
-}
-
 /// Shared state of an entry host.
 #[derive(Debug)]
 pub(crate) struct HostContext<K: StatementCodec, C> {
@@ -62,7 +51,7 @@
     pub(crate) metrics: EntryMetrics,
     pub(crate) phase: watch::Sender<ServicePhase>,
     pub(super) relay: Arc<RelayHub<C>>,
-    plan: Mutex<PlanInForce>,
+    plan: Mutex<PlanView>,
     groups: Mutex<HashMap<String, Arc<GroupRuntime<K, C>>>>,
     /// Number of live entry hosts.
     host_count: AtomicU32,
@@ -125,60 +114,65 @@
 
     /// Returns the plan in force.
     pub(crate) fn plan(&self) -> Option<Arc<RoutePlan>> {
-        lock(&self.plan).plan.clone()
+        lock(&self.plan).plan().cloned()
     }
 
-    /// Returns whether the plan was confirmed to be the newest one less than
-    /// [`PLAN_MAX_AGE`] ago.
+    /// Returns whether the plan was confirmed to be the newest one lately.
     pub(crate) fn is_plan_fresh(&self) -> bool {
-        let confirmed_at = lock(&self.plan).confirmed_at;
-        confirmed_at.is_some_and(|instant| {
-            self.clock.now().saturating_duration_since(instant) < PLAN_MAX_AGE
-        })
+        lock(&self.plan).is_fresh(self.clock.now())
     }
 
-    /// Records a reading of the plan that was requested at `asked_at`. An older
-    /// plan never replaces a newer one.
-    pub(crate) fn observe_plan(&self, plan: Option<RoutePlan>, asked_at: Instant) {
-        let mut in_force = lock(&self.plan);
-        in_force.confirmed_at = in_force.confirmed_at.max(Some(asked_at));
-        let Some(plan) = plan else {
+    /// Records a reading of the plan that was requested at `asked_at`, and offers the
+    /// newest known plan to other hosts.
+    pub(super) fn observe_plan(&self, reading: &PlanReading, asked_at: Instant) {
+        let mut view = lock(&self.plan);
+        let change = view.observe(reading, asked_at);
+        self.relay.offer_plan(PlanReading {
+            plan: view.plan().map(|plan| RoutePlan::clone(plan)),
+            stored_version: view.stored_version(),
+            ..*reading
+        });
+        drop(view);
+        let Some(PlanChange { former, plan }) = change else {
             return;
         };
-        let known = in_force.plan.as_ref().map(|plan| plan.version);
-        if known >= Some(plan.version) {
-            return;
-        }
         let (version, routes) = (plan.version, plan.routes.len());
-        log::info!(version, routes, former = known.unwrap_or(0); "plan in force");
+        log::info!(version, routes, former = former.unwrap_or(0); "plan in force");
         self.metrics.set_plan_version(version);
-        let plan = Arc::new(plan);
-        in_force.plan = Some(plan.clone());
-        drop(in_force);
         for (name, group) in &plan.groups {
             self.group(name)
                 .set_connection_limit(group.connection_limit);
         }
     }
 
-    /// Records the era of an answer of the store, and logs the first answer of a newer
-    /// era with the newest revision of that answer.
-    pub(super) fn observe_era(&self, revision: StoreRevision) {
-        let Some(former) = self.relay.observe_era(revision.era) else {
-            return;
-        };
+    /// Records the era of an answer of the store, at a revision of the answer. Returns
+    /// `false` if the answer is of a former era and must not be used.
+    ///
+    /// The first answer of a newer era is logged with what the store may have lost.
+    pub(super) fn admit_era(&self, revision: StoreRevision) -> bool {
         let StoreRevision { era, number } = revision;
+        let former = match self.relay.observe_era(era) {
+            EraOrder::Former => return false,
+            EraOrder::Current => return true,
+            EraOrder::Newer(former) => former,
+        };
         let plan = self.plan().map_or(0, |plan| plan.version);
+        let newest = self.groups().into_iter();
+        let newest = newest.map(|group| group.with(|group| group.primary_view.revision().number));
         log::warn!(
-            era = era.0, former = former.0, revision = number, plan;
+            era = era.0, former = former.0, revision = number, plan,
+            newest_group_row = newest.max().unwrap_or(0);
             "the store returned from an older copy"
         );
         self.metrics.set_store_era(era.0);
+        self.server_list_history().record_return(self.clock.now());
+        true
     }
 
     /// Applies the live entry hosts, which share the members' connections.
     pub(super) fn apply_hosts(&self, live: &[LiveHost]) {
-        if !self.relay.set_hosts(live) {
+        let live = self.relay.complete_hosts(live);
+        if !self.relay.set_hosts(&live) {
             return;
         }
         let is_listed = live.iter().any(|host| host.name == self.settings.host);
@@ -230,8 +224,13 @@
     }
 
     /// Returns whether new callers can be served: the host is not stopping, has a
-    /// plan and knows at least one member.
+    /// plan and knows at least one member. A host that starts just after the store
+    /// returned from an older copy waits until the operators had time to write the
+    /// newest plan again.
     pub(crate) fn is_ready(&self) -> bool {
+        if !self.relay.is_era_known() {
+            return false;
+        }
         let knows_members = || {
             let groups = lock(&self.groups);
             groups
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -7,7 +7,7 @@
 
 use coordination::admission::AdmissionSettings;
 use coordination::managed::group::{ContactFailure, ListEvent, ManagedGroup};
-use coordination::managed::primary_view::{AssuranceState, GroupRow, PrimaryEvent};
+use coordination::managed::primary_view::{AssuranceState, PrimaryEvent, RowReading};
 use protocol::statement::{MemberStatement, MemberStatus};
 use slotmap::SecondaryMap;
 use state::clock::MonotonicClock;
@@ -136,11 +136,11 @@
         });
     }
 
-    /// Records a reading of the group's row that was requested at `asked_at`.
-    pub(crate) fn observe_row(&self, row: &GroupRow, revision: StoreRevision, asked_at: Instant) {
+    /// Records a reading of the group's row.
+    pub(crate) fn observe_row(&self, reading: &RowReading<'_>) {
         let now = self.clock.now();
-        let event = self.with(|group| group.observe_row(row, revision, asked_at, now));
-        self.log_event(event.as_ref(), revision);
+        let event = self.with(|group| group.observe_row(reading, now));
+        self.log_event(event.as_ref(), reading.revision);
         self.signal();
     }
 
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coordination::managed::change::reason_to_change;
+use coordination::managed::change::{reason_to_change, ChangeReason};
 use coordination::managed::primary_view::RoundReply;
 use coordination::managed::probe::{self, ProbeDuty};
 use futures::future::join_all;
@@ -55,7 +55,11 @@
         }
         probe_primary(&context, &group, duty).await;
         let reason = group.with(|group| reason_to_change(group, clock.now()));
-        if let Some(reason) = reason {
+        let may_run = |reason: &ChangeReason| {
+            let may_restore = || group.with(|group| probe::may_restore(group, duty, clock.now()));
+            *reason != ChangeReason::Restored || may_restore()
+        };
+        if let Some(reason) = reason.filter(may_run) {
             driver.run(&group, reason).await;
         }
     }
--- a/crates/transport/src/managed/host_platform.rs
+++ b/crates/transport/src/managed/host_platform.rs
@@ -20,6 +20,15 @@
     Presence,
 }
 
+/// A revision that a row must have for a write to take effect.
+#[derive(Clone, Copy, Debug)]
+pub struct RowCondition<'a> {
+    /// Key of the row.
+    pub key: &'a str,
+    /// Number of the revision; 0 if the row must not exist.
+    pub revision: u64,
+}
+
 /// A conditional write of one row.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlWrite<'a> {
@@ -29,8 +38,12 @@
     pub key: &'a str,
     /// Revision that the row must have; 0 if the row must not exist.
     pub expected_revision: u64,
+    /// Conditions on other rows of the table.
+    pub conditions: &'a [RowCondition<'a>],
     /// New value of the row.
     pub value: &'a [u8],
+    /// Keys of other rows of the table that are deleted with the write.
+    pub removed: &'a [&'a str],
 }
 
 /// An order to promote a member.
--- a/crates/transport/src/managed/plan_follower.rs
+++ b/crates/transport/src/managed/plan_follower.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coordination::managed::plan_view::{PlanCursor, PlanRead};
 use state::clock::MonotonicClock;
 use tokio::time::sleep;
 
@@ -25,35 +26,44 @@
     context: Arc<HostContext<K, C>>,
     platform: P,
 ) {
-    let mut known_revision = None;
+    let mut cursor = PlanCursor::default();
     let mut failing = false;
     loop {
         if let Some(pause) = relayed_pause(&context, ReadingKind::Plan, POLL_WAIT) {
-            known_revision = None;
+            cursor.reset();
             sleep(pause).await;
             continue;
         }
         let asked_at = context.clock.now();
         context.metrics.count_store_call("plan");
-        match next_reading(&platform, known_revision).await {
+        let read = cursor.next_read(context.relay.era());
+        match next_reading(&platform, read).await {
             Ok(Some(reading)) => {
                 if std::mem::take(&mut failing) {
                     let StoreRevision { era, number } = reading.revision;
                     log::info!(era = era.0, revision = number; "plan can be read again");
                 }
-                context.observe_era(reading.revision);
+                let is_complete = cursor.record(read, reading.revision);
+                if !context.admit_era(reading.revision) {
+                    sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+                if !is_complete {
+                    log::info!("the changes were read in a new era; reading the whole plan");
+                    continue;
+                }
                 let has_plan = reading.plan.is_some() || context.plan().is_some();
-                known_revision = has_plan.then_some(reading.revision.number);
-                context.relay.record_call(asked_at, reading.store_time);
-                context.relay.offer_plan(&reading);
-                context.observe_plan(reading.plan, asked_at);
+                let era = reading.revision.era;
+                context.relay.record_call(era, asked_at, reading.store_time);
+                context.observe_plan(&reading, asked_at);
                 if !has_plan {
+                    cursor.reset();
                     sleep(FAILURE_PAUSE).await;
                 }
             }
             Ok(None) => {
                 log::info!("the store dropped the changes after the known revision; reading the whole plan");
-                known_revision = None;
+                cursor.reset();
             }
             Err(error) => {
                 context.metrics.count_store_failure("plan");
@@ -68,10 +78,10 @@
 
 async fn next_reading<P: HostPlatform>(
     platform: &P,
-    known_revision: Option<u64>,
+    read: PlanRead,
 ) -> Result<Option<PlanReading>> {
-    match known_revision {
-        Some(revision) => platform.await_plan(revision, POLL_WAIT).await,
-        None => platform.read_plan().await.map(Some),
+    match read {
+        PlanRead::After(revision) => platform.await_plan(revision.number, POLL_WAIT).await,
+        PlanRead::Whole => platform.read_plan().await.map(Some),
     }
 }
--- a/crates/transport/src/managed/presence_follower.rs
+++ b/crates/transport/src/managed/presence_follower.rs
@@ -37,7 +37,11 @@
         context.metrics.count_store_call("presence");
         match platform.read_table(ControlTable::Presence).await {
             Ok(reading) => {
-                hub.record_call(asked_at, reading.store_time);
+                if !context.admit_era(reading.revision) {
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+                hub.record_call(reading.revision.era, asked_at, reading.store_time);
                 apply_presence(&context, &platform, &reading).await;
                 hub.record_start();
             }
@@ -84,7 +88,9 @@
             table: ControlTable::Presence,
             key: own,
             expected_revision: revision,
+            conditions: &[],
             value: &value,
+            removed: &[],
         })
         .await;
     let row = match written {
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -4,11 +4,14 @@
 mod follower;
 mod service;
 
+use std::cmp::Ordering;
 use std::collections::HashSet;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use coordination::managed::presence::{PresenceKeeper, PresenceRow};
+use coordination::managed::era::EraMarker;
+use coordination::managed::group::RELIST_GRACE;
+use coordination::managed::presence::{with_known_hosts, PresenceKeeper, PresenceRow};
 use coordination::managed::reader::{ReaderChoice, ReadingAge, ReadingSource};
 use coordination::managed::store_clock::StoreClock;
 use protocol::relay::{KnownReadings, ReadingsRequest, RelayedReadings, RelayedTable};
@@ -52,6 +55,17 @@
     Plan,
 }
 
+/// How the era of an answer compares to the newest known one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EraOrder {
+    /// The answer must not be used.
+    Former,
+    /// The era is the newest known one, or the first one.
+    Current,
+    /// The store returned from an older copy; holds the era before.
+    Newer(StoreEra),
+}
+
 /// The newest readings, the choice of the reader and the presence of hosts.
 #[derive(Debug)]
 pub(super) struct RelayHub<C> {
@@ -71,6 +85,12 @@
     store_clock: StoreClock,
     /// Newest known era of the store; `None` before the first answer.
     era: Option<StoreEra>,
+    /// Marker of `era`, as it was read last.
+    marker: Option<EraMarker>,
+    /// Whether a marker has shown an era that was settled.
+    is_era_known: bool,
+    /// When the newest era was first seen, unless it is the first one.
+    returned_at: Option<Instant>,
     /// When the host first tried to read the live hosts. Until then it does not know
     /// whether another host reads the store.
     started_at: Option<Instant>,
@@ -129,6 +149,9 @@
                 presence: PresenceKeeper::new(report),
                 store_clock: StoreClock::default(),
                 era: None,
+                marker: None,
+                is_era_known: false,
+                returned_at: None,
                 started_at: None,
                 own,
                 relayed_rows: Vec::new(),
@@ -185,20 +208,65 @@
         self.hosts_changed.notify_waiters();
     }
 
-    /// Records the era of an answer of the store. Returns the former era if the answer
-    /// shows that the store returned from an older copy.
-    pub(super) fn observe_era(&self, era: StoreEra) -> Option<StoreEra> {
+    /// Records the era of an answer of the store or of another host.
+    ///
+    /// What was read in a former era is neither passed on nor compared with later
+    /// readings, and the presence of hosts is written again.
+    pub(super) fn observe_era(&self, era: StoreEra) -> EraOrder {
+        let now = self.clock.now();
         let mut state = self.lock();
-        if state.era.is_some_and(|known| era <= known) {
-            return None;
+        let order = match state.era.cmp(&Some(era)) {
+            Ordering::Greater => return EraOrder::Former,
+            Ordering::Equal => return EraOrder::Current,
+            Ordering::Less => state.era.map_or(EraOrder::Current, EraOrder::Newer),
+        };
+        state.era = Some(era);
+        state.store_clock = StoreClock::default();
+        state.marker = None;
+        if let EraOrder::Newer(_) = order {
+            state.returned_at = Some(now);
+            state.presence.restart_renewals();
+            state.own.group_rows = None;
+            state.own.server_list = None;
+            state.own.plan = None;
         }
-        state.era.replace(era)
+        drop(state);
+        self.hosts_changed.notify_waiters();
+        order
+    }
+
+    /// Returns the newest known era of the store.
+    pub(super) fn era(&self) -> StoreEra {
+        self.lock().era.unwrap_or_default()
+    }
+
+    /// Records the marker of the newest era, from a reading of that era.
+    pub(super) fn record_marker(&self, marker: EraMarker) {
+        let mut state = self.lock();
+        if state.era == Some(marker.era) {
+            state.is_era_known |= marker.is_settled();
+            state.marker = Some(marker);
+        }
+    }
+
+    /// Returns the marker of the newest era, if it was read.
+    pub(super) fn marker(&self) -> Option<EraMarker> {
+        self.lock().marker
+    }
+
+    /// Returns whether an era has been seen long enough after its begin since the host
+    /// started.
+    pub(super) fn is_era_known(&self) -> bool {
+        self.lock().is_era_known
     }
 
     /// Records a call of the store, which bounds the store's clock.
-    pub(super) fn record_call(&self, asked_at: Instant, store_time: Duration) {
+    pub(super) fn record_call(&self, era: StoreEra, asked_at: Instant, store_time: Duration) {
         let answered_at = self.clock.now();
         let mut state = self.lock();
+        if state.era != Some(era) {
+            return;
+        }
         state
             .store_clock
             .record_call(asked_at, store_time, answered_at);
@@ -244,6 +312,18 @@
         let _changed = tokio::time::timeout(max_wait, self.hosts_changed.notified()).await;
     }
 
+    /// Returns the live hosts of a reading, and soon after a return of the store also
+    /// those that were known before.
+    pub(super) fn complete_hosts(&self, live: &[LiveHost]) -> Vec<LiveHost> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RELIST_GRACE;
+        match state.returned_at.is_some_and(is_recent) {
+            true => with_known_hosts(live, &state.own.hosts),
+            false => live.to_vec(),
+        }
+    }
+
     /// Sets the live hosts, and offers them to other hosts if they changed. Returns
     /// whether they did.
     pub(super) fn set_hosts(&self, live: &[LiveHost]) -> bool {
@@ -263,9 +343,12 @@
     }
 
     /// Offers a reading of the groups' rows to the other hosts, unless it is older
-    /// than the one that is offered already.
+    /// than the one that is offered already or of a former era.
     pub(super) fn offer_group_rows(&self, reading: &TableReading) {
         let mut state = self.lock();
+        if state.era != Some(reading.revision.era) {
+            return;
+        }
         let own = &mut state.own;
         let known = own.group_rows.as_ref();
         if known.is_some_and(|known| known.store_time > reading.store_time) {
@@ -280,30 +363,28 @@
         self.signal();
     }
 
-    /// Offers a reading of the server list to the other hosts.
+    /// Offers a reading of the server list to the other hosts, unless it is of a former
+    /// era.
     pub(super) fn offer_server_list(&self, reading: &ServerListReading) {
         let mut state = self.lock();
+        if state.era != Some(reading.era) {
+            return;
+        }
         state.own.known.server_list += 1;
         state.own.server_list = Some(reading.clone());
         drop(state);
         self.signal();
     }
 
-    /// Offers a reading of the plan to the other hosts. A reading without a newer
-    /// version confirms the known plan.
-    pub(super) fn offer_plan(&self, reading: &PlanReading) {
+    /// Offers the plan in force to the other hosts, with the reading that confirmed or
+    /// replaced it, unless that is of a former era.
+    pub(super) fn offer_plan(&self, reading: PlanReading) {
         let mut state = self.lock();
+        if state.era != Some(reading.revision.era) {
+            return;
+        }
         state.own.known.plan += 1;
-        let known = state.own.plan.take().and_then(|known| known.plan);
-        let newest = match (known, &reading.plan) {
-            (Some(known), Some(plan)) if plan.version < known.version => Some(known),
-            (known, None) => known,
-            (_, Some(plan)) => Some(plan.clone()),
-        };
-        state.own.plan = Some(PlanReading {
-            plan: newest,
-            ..reading.clone()
-        });
+        state.own.plan = Some(reading);
         drop(state);
         self.signal();
     }
@@ -381,7 +462,7 @@
         });
         let reply = RelayedReadings {
             known: own.known,
-            era: state.era.unwrap_or_default(),
+            era: state.era,
             latest_time: None,
             earliest_time: None,
             digests: Vec::new(),
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -9,7 +9,7 @@
     KnownReadings, ReadingsRequest, RelayServiceClient, RelayedReadings, RelayedTable,
 };
 use state::clock::MonotonicClock;
-use state::reading::{LiveHost, TableReading};
+use state::reading::{LiveHost, StoreRevision, TableReading};
 use tarpc::client::{self, NewClient};
 
 use super::{RelayHub, CALL_WAIT, FRAME_LIMIT_BYTES};
@@ -49,7 +49,7 @@
         let asked_at = hub.clock.now();
         let request = ReadingsRequest {
             known,
-            era: hub.lock().era.unwrap_or_default(),
+            era: hub.lock().era,
             reports: hub.lock().presence.recent_reports(asked_at),
         };
         let call = move |client: RelayServiceClient, context| async move {
@@ -102,6 +102,12 @@
 ) {
     let hub = &context.relay;
     let now = hub.clock.now();
+    let Some(era) = readings.era else {
+        return;
+    };
+    if !context.admit_era(StoreRevision::new(era, 0)) {
+        return;
+    }
     hub.lock().answered_at = Some(now);
     if let Some(latest) = readings.latest_time {
         let mut state = hub.lock();
@@ -125,9 +131,8 @@
     }
     if let Some(reading) = &readings.plan {
         if let Some(read_at) = hub.instant_of(reading.store_time) {
-            context.observe_plan(reading.plan.clone(), read_at);
+            context.observe_plan(reading, read_at);
             hub.lock().plan_at = Some(now);
-            hub.offer_plan(reading);
         }
     }
     // The digests refer to the primaries of the rows above.
--- a/crates/transport/src/managed/relay/service.rs
+++ b/crates/transport/src/managed/relay/service.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use protocol::relay::{ReadingsRequest, RelayService, RelayedReadings};
 use state::clock::MonotonicClock;
-use state::reading::GroupDigest;
+use state::reading::{GroupDigest, StoreRevision};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
@@ -34,6 +34,10 @@
     async fn next_readings(self, _: Context, request: ReadingsRequest) -> RelayedReadings {
         let context = self.0;
         let hub = &context.relay;
+        if let Some(era) = request.era {
+            // A host that did not see the store's return learns of it here.
+            context.admit_era(StoreRevision::new(era, 0));
+        }
         let latest_time = hub.record_request(&request);
         let known = request.known;
         let mut changes = hub.changed.subscribe();
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -1,10 +1,11 @@
 //! Reads the groups' rows and the list of backend servers, and creates missing rows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coordination::managed::primary_view::{GroupRow, READ_INTERVAL};
+use coordination::managed::era::{marked_era, marker_key, EraMarker, EraRow};
+use coordination::managed::primary_view::{GroupRow, RowReading, READ_INTERVAL};
 use coordination::managed::reader::ReadingSource;
 use serde::Serialize;
 use state::clock::MonotonicClock;
@@ -15,10 +16,11 @@
 use super::codec::StatementCodec;
 use super::context::HostContext;
 use super::host_platform::{
-    ControlTable, ControlWrite, HostPlatform, RejectedEntry, ServerListReading, StoreRevision,
-    TableReading,
+    ControlTable, ControlWrite, HostPlatform, RejectedEntry, RowCondition, ServerListReading,
+    StoreRevision, StoredRow, TableReading,
 };
 use super::relay::ReadingKind;
+use crate::services::WriteAnswer;
 
 /// Prefix of the keys of group rows.
 const GROUP_PREFIX: &str = "group/";
@@ -71,10 +73,14 @@
                     let StoreRevision { era, number } = reading.revision;
                     log::info!(era = era.0, revision = number; "group rows can be read again");
                 }
-                context.observe_era(reading.revision);
-                context.relay.record_call(asked_at, reading.store_time);
-                context.relay.offer_group_rows(&reading);
-                apply_group_rows(&context, &reading, asked_at);
+                let era = reading.revision.era;
+                if context.admit_era(reading.revision) {
+                    let store_time = reading.store_time;
+                    context.relay.record_call(era, asked_at, store_time);
+                    context.relay.offer_group_rows(&reading);
+                    apply_group_rows(&context, &reading, asked_at);
+                    mark_era(&context, &platform, &reading).await;
+                }
             }
             Err(error) => {
                 context.metrics.count_store_failure("group_rows");
@@ -101,15 +107,26 @@
     reading: &TableReading,
     asked_at: Instant,
 ) {
+    let era = reading.revision.era;
+    let marker = find_marker(reading);
+    if let Some(marker) = marker {
+        context.relay.record_marker(marker);
+        context.metrics.set_store_era(era.0);
+    }
+    let is_settled = marker.is_some_and(|marker| marker.is_settled());
+    let mut stored = HashSet::new();
     for row in &reading.rows {
         let Some(name) = row.key.strip_prefix(GROUP_PREFIX) else {
             continue;
         };
+        stored.insert(name);
         match serde_json::from_slice::<GroupRow>(&row.value) {
-            Ok(value) => {
-                let revision = StoreRevision::new(reading.revision.era, row.revision);
-                context.group(name).observe_row(&value, revision, asked_at);
-            }
+            Ok(value) => context.group(name).observe_row(&RowReading {
+                row: &value,
+                revision: StoreRevision::new(era, row.revision),
+                asked_at,
+                is_settled,
+            }),
             Err(error) => {
                 let reason = error.to_string();
                 log::error!(
@@ -119,6 +136,81 @@
             }
         }
     }
+    for group in context.groups() {
+        if !stored.contains(group.name.as_str()) {
+            group.with(|group| group.primary_view.observe_absence(era));
+        }
+    }
+}
+
+/// Returns the marker of a reading's era.
+pub(super) fn find_marker(reading: &TableReading) -> Option<EraMarker> {
+    let era = reading.revision.era;
+    let key = marker_key(era);
+    let row = reading.rows.iter().find(|row| row.key == key)?;
+    match serde_json::from_slice(&row.value) {
+        Ok(value) => Some(EraMarker::new(era, row.revision, value, reading.store_time)),
+        Err(error) => {
+            let reason = error.to_string();
+            log::error!(key = key.as_str(), reason = reason.as_str(); "cannot decode the marker of an era");
+            None
+        }
+    }
+}
+
+/// Creates the marker of a reading's era if there is none, in place of those of former
+/// eras. Returns the marker, or `None` if another host was first or the write failed;
+/// the next reading shows it then.
+pub(super) async fn mark_era<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    platform: &P,
+    reading: &TableReading,
+) -> Option<EraMarker> {
+    let era = reading.revision.era;
+    let key = marker_key(era);
+    if let Some(marker) = find_marker(reading) {
+        return Some(marker);
+    }
+    let known = reading.rows.iter().find(|row| row.key == key);
+    let former = reading
+        .rows
+        .iter()
+        .filter(|row| marked_era(&row.key).is_some_and(|marked| marked != era));
+    let former: Vec<&StoredRow> = former.collect();
+    let conditions: Vec<RowCondition<'_>> = former
+        .iter()
+        .map(|row| RowCondition {
+            key: &row.key,
+            revision: row.revision,
+        })
+        .collect();
+    let removed: Vec<&str> = former.iter().map(|row| row.key.as_str()).collect();
+    let row = EraRow::new(reading.store_time);
+    context.metrics.count_store_call("era_write");
+    let written = platform
+        .write_row(&ControlWrite {
+            table: ControlTable::Groups,
+            key: &key,
+            expected_revision: known.map_or(0, |row| row.revision),
+            conditions: &conditions,
+            value: &encode_row(&row),
+            removed: &removed,
+        })
+        .await;
+    match written {
+        Ok(WriteAnswer::Written { revision }) => {
+            log::info!(era = era.0, revision, removed = removed.len(); "era marked");
+            let marker = EraMarker::new(era, revision, row, reading.store_time);
+            context.relay.record_marker(marker);
+            Some(marker)
+        }
+        Ok(WriteAnswer::Conflict { .. }) => None,
+        Err(error) => {
+            context.metrics.count_store_failure("era_write");
+            log::warn!(era = era.0, reason = error.to_string().as_str(); "cannot mark the era");
+            None
+        }
+    }
 }
 
 /// Reads the list of backend servers periodically until the returned future is
@@ -137,11 +229,13 @@
         match platform.list_servers().await {
             Ok(reading) => {
                 if std::mem::take(&mut failing) {
-                    log::info!("server list can be read again");
+                    log::info!(era = reading.era.0; "server list can be read again");
+                }
+                if context.admit_era(StoreRevision::new(reading.era, 0)) {
+                    context.relay.offer_server_list(&reading);
+                    apply_server_list(&context, &reading);
+                    create_missing_rows(&context, &platform, &reading.servers).await;
                 }
-                context.relay.offer_server_list(&reading);
-                apply_server_list(&context, &reading);
-                create_missing_rows(&context, &platform, &reading.servers).await;
             }
             Err(error) => {
                 context.metrics.count_store_failure("servers");
@@ -200,6 +294,11 @@
         self.returned_at
     }
 
+    /// Records that the store returned from an older copy of the list.
+    pub(super) fn record_return(&mut self, now: Instant) {
+        self.returned_at = Some(now);
+    }
+
     /// Logs each invalid entry once for each reason.
     fn log_rejected(&mut self, reading: &ServerListReading) {
         let rejected = &reading.rejected;
@@ -222,9 +321,12 @@
 ) {
     for server in servers.iter().filter(|one| one.role == MemberRole::Primary) {
         let group = context.group(&server.group);
-        if group.with(|group| group.primary_view.row().is_some()) {
+        if group.with(|group| group.primary_view.stored().is_some()) {
             continue;
         }
+        let Some(marker) = context.relay.marker() else {
+            continue;
+        };
         let Some(key) = group.with(|group| group.find(&server.id)) else {
             continue;
         };
@@ -239,7 +341,12 @@
             term: status.term,
             change: None,
         };
-        let written = write_group_row(platform, &group.name, 0, &row).await;
+        let is_behind = |known: &GroupRow| known.progress() > row.progress();
+        if group.with(|group| group.primary_view.row().is_some_and(is_behind)) {
+            // The store lost the row; `ChangeReason::Restored` writes it again.
+            continue;
+        }
+        let written = write_group_row(platform, &group.name, 0, &marker, &row).await;
         if let Err(error) = written {
             let reason = error.to_string();
             log::warn!(
@@ -255,15 +362,39 @@
     platform: &P,
     group: &str,
     expected_revision: u64,
+    marker: &EraMarker,
     row: &GroupRow,
-) -> super::host_platform::Result<crate::services::WriteAnswer> {
-    let value = encode_row(row);
+) -> super::host_platform::Result<WriteAnswer> {
+    write_in_era(
+        platform,
+        &group_key(group),
+        expected_revision,
+        marker,
+        &encode_row(row),
+    )
+    .await
+}
+
+/// Writes a row of the groups' table if it has the expected revision in the marked era.
+pub(super) async fn write_in_era<P: HostPlatform>(
+    platform: &P,
+    key: &str,
+    expected_revision: u64,
+    marker: &EraMarker,
+    value: &[u8],
+) -> super::host_platform::Result<WriteAnswer> {
+    let guard = RowCondition {
+        key: &marker_key(marker.era),
+        revision: marker.revision,
+    };
     platform
         .write_row(&ControlWrite {
             table: ControlTable::Groups,
-            key: &group_key(group),
+            key,
             expected_revision,
-            value: &value,
+            conditions: &[guard],
+            value,
+            removed: &[],
         })
         .await
 }
