--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -342,7 +342,7 @@
     }
 
     /// Records the replies of all members other than the primary to questions
-    /// that were sent at `asked_at` or later. If all of them are replicas of a
+    /// that were sent at `asked_at` or later. If there are any, and all are replicas of a
     /// term that is not newer and no change is under way, the primary is assured
     /// until `asked_at`. A primary of a newer term becomes the observed successor.
     pub fn observe_round(&mut self, replies: &[RoundReply<'_>], asked_at: Instant, now: Instant) {
@@ -350,7 +350,8 @@
             return;
         };
         let term = row.term;
-        let mut all_follow = true;
+        // A host that has not read the server list yet knows no member to ask.
+        let mut all_follow = !replies.is_empty();
         for reply in replies {
             match reply.answer {
                 Some((MemberRole::Primary, seen)) if seen > term => {
--- a/crates/coordination/tests/managed_model.rs
+++ b/crates/coordination/tests/managed_model.rs
@@ -194,6 +194,8 @@
 const RUNS: u64 = 80;
 /// Number of seeds that are run with each wrong decision.
 const WRONG_RUNS: u64 = 60;
+/// The same for decisions that are wrong only around a return of the store.
+const WRONG_RETURN_RUNS: u64 = 400;
 const THREADS: u64 = 4;
 
 struct RunReport {
@@ -347,14 +349,18 @@
         },
     ];
     for case in cases {
-        let reports = run_seeds(FIRST_SEED, WRONG_RUNS, case.decision, case.scenario);
+        let wrong_runs = match case.scenario {
+            Scenario::Durable => WRONG_RUNS,
+            Scenario::Returning => WRONG_RETURN_RUNS,
+        };
+        let reports = run_seeds(FIRST_SEED, wrong_runs, case.decision, case.scenario);
         let caught = reports.iter().filter(|report| {
             let violation = report.violation.as_ref();
             violation.is_some_and(|violation| violation.kind == case.expected)
         });
         let caught = caught.count();
         println!(
-            "{:?}: caught in {caught} of {WRONG_RUNS} runs",
+            "{:?}: caught in {caught} of {wrong_runs} runs",
             case.decision
         );
         expect_that!(caught, gt(0), "{:?}", case.decision);
--- a/crates/coordination/tests/managed_model/world.rs
+++ b/crates/coordination/tests/managed_model/world.rs
@@ -22,6 +22,8 @@
 const FAULTS_FROM: Duration = Duration::from_secs(3);
 const FAULTS_UNTIL: Duration = Duration::from_secs(20);
 const RUN_FOR: Duration = Duration::from_secs(36);
+/// The same for runs in which a fault leads to others up to 7 s later.
+const RUN_WITH_RETURNS_FOR: Duration = Duration::from_secs(44);
 const REPLICATION_TICK: Duration = Duration::from_millis(10);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const OPERATION_INTERVAL: Duration = Duration::from_millis(12);
@@ -60,6 +62,9 @@
     StoreReturns,
     /// The same, soon after a change of primary began.
     StoreReturnsInChange,
+    /// The same, while the primary reaches only one host, which restarts and does not
+    /// know that the others have changed the primary.
+    StoreReturnsInSplit(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -252,9 +257,10 @@
 
     fn draw_fault(&mut self) -> FaultKind {
         if self.scenario == Scenario::Returning && self.random.random_bool(0.4) {
-            return match self.random.random_bool(0.5) {
-                true => FaultKind::StoreReturns,
-                false => FaultKind::StoreReturnsInChange,
+            return match self.random.random_range(0..4) {
+                0 => FaultKind::StoreReturns,
+                1 => FaultKind::StoreReturnsInChange,
+                _ => FaultKind::StoreReturnsInSplit(self.random.random_range(0..HOSTS)),
             };
         }
         let host = self.random.random_range(0..HOSTS);
@@ -296,7 +302,11 @@
 
     /// Runs the simulation and returns the first violation.
     pub fn run(&mut self) -> Option<Violation> {
-        let end = self.base + RUN_FOR;
+        let end = self.base
+            + match self.scenario {
+                Scenario::Durable => RUN_FOR,
+                Scenario::Returning => RUN_WITH_RETURNS_FOR,
+            };
         while let Some(((instant, _), event)) = self.events.pop_first() {
             if instant > end || self.violation.is_some() {
                 break;
@@ -304,6 +314,9 @@
             self.now = instant;
             self.handle(event);
         }
+        if self.trace {
+            self.print_state();
+        }
         if self.violation.is_none() {
             self.check_reads();
             self.check_recovery();
@@ -825,6 +838,14 @@
         }
     }
 
+    /// Prints what the store, the members and the hosts know at the end of a run.
+    fn print_state(&self) {
+        println!("{:?}", self.platform);
+        for host in self.hosts.iter().flatten() {
+            println!("host {}: {:?}", host.index, host.group.primary_view);
+        }
+    }
+
     fn report_violation(&mut self, kind: ViolationKind, text: String) {
         self.violation.get_or_insert(Violation { kind, text });
     }
@@ -846,7 +867,9 @@
 
     fn begin_fault(&mut self, kind: FaultKind) {
         let length = match kind {
-            FaultKind::SplitPrimary(_) => self.millis(4_000, 9_000),
+            FaultKind::SplitPrimary(_) | FaultKind::StoreReturnsInSplit(_) => {
+                self.millis(4_000, 9_000)
+            }
             FaultKind::StoreReturns => self.millis(50, 2_500),
             _ => self.millis(300, 6_000),
         };
@@ -870,10 +893,16 @@
                 let lost = self.millis(500, 9_000);
                 self.platform.restore(self.now - lost);
             }
+            FaultKind::StoreReturnsInSplit(host) => {
+                self.after(Duration::ZERO, Event::Begin(FaultKind::SplitPrimary(host)));
+                let killed_after = self.millis(500, 2_500);
+                self.after(killed_after, Event::Begin(FaultKind::KillHost(host)));
+                let returns_after = self.millis(2_000, 7_000);
+                self.after(returns_after, Event::Begin(FaultKind::StoreReturns));
+            }
             FaultKind::StoreReturnsInChange => {
                 self.crash(self.primary(), length, false);
                 let delay = self.millis(1_000, 4_500);
-                self.faults_end += delay;
                 self.after(delay, Event::Begin(FaultKind::StoreReturns));
             }
             _ => {}
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -47,10 +47,13 @@
                 (reader.relay_address, open_channel(reader.relay_address))
             });
         let asked_at = hub.clock.now();
-        let request = ReadingsRequest {
-            known,
-            era: hub.lock().era,
-            reports: hub.lock().presence.recent_reports(asked_at),
+        let request = {
+            let state = hub.lock();
+            ReadingsRequest {
+                known,
+                era: state.era,
+                reports: state.presence.recent_reports(asked_at),
+            }
         };
         let call = move |client: RelayServiceClient, context| async move {
             client.next_readings(context, request).await
