--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,10 @@
 /// need to replace a primary which still sends heartbeats.
 const SPLIT_LENGTH_MS: std::ops::Range<u64> = 4_000..6_500;
 
+/// Time that the store loses when it returns from a copy: from less than an
+/// announcement to more than a change of primary.
+const LOST_MS: std::ops::Range<u64> = 300..6_000;
+
 /// A fault that is injected from outside the processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FaultKind {
@@ -40,6 +44,9 @@
     StallStore { host: usize },
     /// The store answers all calls with an error.
     StoreDown,
+    /// The store answers all calls with an error, and returns from a copy that is at
+    /// least `lost_ms` old.
+    StoreReturns { lost_ms: u64 },
     /// All connections of callers to a host are reset, new ones included.
     CutCallers { host: usize },
     /// The process of a host is paused and resumed.
@@ -99,6 +106,7 @@
 fn draw_fault_kind(random: &mut StdRng) -> FaultKind {
     let host = random.random_range(0..HOSTS);
     let member = random.random_range(0..MEMBERS);
+    let lost_ms = random.random_range(LOST_MS);
     let kinds = [
         FaultKind::CutMember { host, member },
         FaultKind::StallMember { host, member },
@@ -109,6 +117,9 @@
         FaultKind::CutStore { host },
         FaultKind::StallStore { host },
         FaultKind::StoreDown,
+        FaultKind::StoreReturns { lost_ms },
+        FaultKind::StoreReturns { lost_ms },
+        FaultKind::StoreReturns { lost_ms },
         FaultKind::CutCallers { host },
         FaultKind::Pause { host },
         FaultKind::PauseAll,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -202,6 +202,11 @@
                 self.with_host(host, |target| target.store_relay.set_stalled(true))
             }
             FaultKind::StoreDown => self.platform.set_store_down(true),
+            FaultKind::StoreReturns { lost_ms } => {
+                self.platform.set_store_down(true);
+                let lost = Duration::from_millis(lost_ms);
+                self.platform.restore_store(lost);
+            }
             FaultKind::CutCallers { host } => {
                 self.with_host(host, |target| target.caller_relay.set_cut(true))
             }
@@ -311,7 +316,9 @@
             FaultKind::StallStore { host } => {
                 self.with_host(host, |target| target.store_relay.set_stalled(false))
             }
-            FaultKind::StoreDown => self.platform.set_store_down(false),
+            FaultKind::StoreDown | FaultKind::StoreReturns { .. } => {
+                self.platform.set_store_down(false);
+            }
             FaultKind::CutCallers { host } => {
                 self.with_host(host, |target| target.caller_relay.set_cut(false))
             }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -36,6 +36,8 @@
 struct SiteState {
     store: StoreState,
     group: GroupState,
+    /// The newest configuration that the operator wrote.
+    configuration: Option<Vec<u8>>,
 }
 
 /// A running platform stand-in. Dropping it aborts all its tasks.
@@ -145,29 +147,43 @@
     /// Writes a version of the configuration with one route for each database.
     pub fn configure(&self, version: u64, databases: &[&str]) {
         let value = store::configuration(version, databases);
-        self.lock().store.put("op", "config", value.into_bytes());
+        let mut site = self.lock();
+        site.configuration = Some(value.clone().into_bytes());
+        site.store.put("op", "config", value.into_bytes());
     }
 
     /// Lets the store return from a copy that is at least `lost` old, in a new era. The
-    /// members write their entries again with the next heartbeat, and the newest
-    /// configuration is written again after `OPERATOR_DELAY`.
+    /// members write their entries again with the next heartbeat. After `OPERATOR_DELAY`,
+    /// the newest configuration is written again, and the entries of dead members
+    /// expire.
     pub fn restore_store(&self, lost: Duration) {
         let mut site = self.lock();
-        let newest = site.store.value("op", "config");
         site.store.restore(lost);
         drop(site);
         let state = self.state.clone();
         tokio::spawn(async move {
             sleep(OPERATOR_DELAY).await;
             let mut site = lock(&state);
-            if let Some(value) =
-                newest.filter(|one| site.store.value("op", "config").as_ref() != Some(one))
-            {
-                site.store.put("op", "config", value);
+            let SiteState {
+                store,
+                group,
+                configuration,
+            } = &mut *site;
+            for member in group.members.iter().filter(|member| !member.alive) {
+                store.remove("servers", &member.id);
+            }
+            if store.value("op", "config") != *configuration {
+                let newest = configuration.clone().unwrap_or_default();
+                store.put("op", "config", newest);
             }
         });
     }
 
+    /// Makes the store omit its era from all answers, as older stores do.
+    pub fn hide_store_era(&self) {
+        self.lock().store.hides_era = true;
+    }
+
     /// Returns the newest revision of the store.
     pub fn store_version(&self) -> u64 {
         self.lock().store.version()
@@ -232,7 +248,7 @@
     loop {
         {
             let mut site = lock(&state);
-            let SiteState { store, group } = &mut *site;
+            let SiteState { store, group, .. } = &mut *site;
             group.demote_superseded();
             for member in group.members.iter_mut().filter(|member| member.alive) {
                 member.heartbeat += 1;
--- a/crates/standin/src/managed/store.rs
+++ b/crates/standin/src/managed/store.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StoreState {
     pub(super) down: bool,
+    /// Whether answers do not state the era.
+    pub(super) hides_era: bool,
     /// Number of returns from an older copy.
     returns: u64,
     contents: StoreContents,
@@ -208,9 +210,14 @@
 }
 
 async fn add_era(State(view): SharedView, mut response: Response) -> Response {
-    let era = lock(&view.site).store.era();
-    let headers = response.headers_mut();
-    headers.insert(ERA_HEADER, HeaderValue::from(era));
+    let (era, hides_era) = {
+        let site = lock(&view.site);
+        (site.store.era(), site.store.hides_era)
+    };
+    if !hides_era {
+        let headers = response.headers_mut();
+        headers.insert(ERA_HEADER, HeaderValue::from(era));
+    }
     response
 }
 
