--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -33,6 +33,8 @@
 const LEASE_KEY: &str = "duty";
 /// Time in which a member has to answer a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Refusals of a row's write in a row from which on operators should look at it.
+const REFUSALS_TO_WARN: i64 = 4;
 /// Pause after a failed change, before the next attempt may start.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -262,8 +264,13 @@
             return self.context.metrics.reset_refused_writes(key);
         };
         let refusals = self.context.metrics.count_refused_write(key);
-        log::warn!(
-            key, expected_revision, stored_revision = row.revision,
+        // Hosts that compete for a change refuse each other once or twice.
+        let level = match refusals < REFUSALS_TO_WARN {
+            true => log::Level::Info,
+            false => log::Level::Warn,
+        };
+        log::log!(
+            level, key, expected_revision, stored_revision = row.revision,
             stored = row.value.as_str(), refusals;
             "conditional write refused"
         );
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -240,6 +240,12 @@
         self.lock().era.unwrap_or_default()
     }
 
+    /// Returns the newest known era together with the bounds of its clock.
+    fn era_clock(&self) -> (Option<StoreEra>, StoreClock) {
+        let state = self.lock();
+        (state.era, state.store_clock)
+    }
+
     /// Records the marker of the newest era, from a reading of that era.
     pub(super) fn record_marker(&self, marker: EraMarker) {
         let mut state = self.lock();
@@ -462,7 +468,7 @@
         });
         let reply = RelayedReadings {
             known: own.known,
-            era: state.era,
+            era: None,
             latest_time: None,
             earliest_time: None,
             digests: Vec::new(),
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -121,19 +121,22 @@
         context.apply_hosts(hosts);
     }
     if let Some(reading) = hub.whole_table(readings.group_rows.as_ref()) {
-        if let Some(read_at) = hub.instant_of(reading.store_time) {
+        let read_at = hub.instant_of(reading.store_time);
+        if let Some(read_at) = read_at.filter(|_| reading.revision.era == era) {
             apply_group_rows(context, &reading, read_at);
             hub.lock().group_rows_at = Some(now);
             hub.offer_group_rows(&reading);
         }
     }
-    if let Some(reading) = &readings.server_list {
+    let server_list = readings.server_list.as_ref();
+    if let Some(reading) = server_list.filter(|reading| reading.era == era) {
         apply_server_list(context, reading);
         hub.lock().server_list_at = Some(now);
         hub.offer_server_list(reading);
     }
     if let Some(reading) = &readings.plan {
-        if let Some(read_at) = hub.instant_of(reading.store_time) {
+        let read_at = hub.instant_of(reading.store_time);
+        if let Some(read_at) = read_at.filter(|_| reading.revision.era == era) {
             context.observe_plan(reading, read_at);
             hub.lock().plan_at = Some(now);
         }
@@ -180,11 +183,6 @@
         }
     }
 
-    pub(super) fn earliest_time(&self) -> Option<Duration> {
-        let now = self.clock.now();
-        self.lock().store_clock.earliest_time_at(now)
-    }
-
     fn instant_of(&self, store_time: Duration) -> Option<Instant> {
         self.lock().store_clock.instant_of(store_time)
     }
--- a/crates/transport/src/managed/relay/service.rs
+++ b/crates/transport/src/managed/relay/service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coordination::managed::store_clock::StoreClock;
 use futures::StreamExt;
 use protocol::relay::{ReadingsRequest, RelayService, RelayedReadings};
 use state::clock::MonotonicClock;
@@ -38,6 +39,7 @@
             // A host that did not see the store's return learns of it here.
             context.admit_era(StoreRevision::new(era, 0));
         }
+        let (asked_in, _) = hub.era_clock();
         let latest_time = hub.record_request(&request);
         let known = request.known;
         let mut changes = hub.changed.subscribe();
@@ -56,18 +58,23 @@
             ..RelayedReadings::default()
         };
         let readings = timeout(CALL_WAIT, wait).await.unwrap_or(nothing_new);
+        // The times and digests of an answer are of one era.
+        let (era, store_clock) = hub.era_clock();
         RelayedReadings {
-            latest_time,
-            earliest_time: hub.earliest_time(),
-            digests: digests(&context),
+            era,
+            latest_time: latest_time.filter(|_| era == asked_in),
+            earliest_time: store_clock.earliest_time_at(hub.clock.now()),
+            digests: digests(&context, &store_clock),
             ..readings
         }
     }
 }
 
 /// Returns what this host knows of the groups' primaries.
-fn digests<K: StatementCodec, C: MonotonicClock>(context: &HostContext<K, C>) -> Vec<GroupDigest> {
-    let store_clock = context.relay.lock().store_clock;
+fn digests<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    store_clock: &StoreClock,
+) -> Vec<GroupDigest> {
     let groups = context.groups();
     let digests = groups.iter().filter_map(|group| {
         group.with(|state| {
