--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -126,7 +126,20 @@
     /// newest known plan to other hosts.
     pub(super) fn observe_plan(&self, reading: &PlanReading, asked_at: Instant) {
         let mut view = lock(&self.plan);
+        let was_awaited = view.is_awaited();
         let change = view.observe(reading, asked_at);
+        let known = view.plan().map_or(0, |plan| plan.version);
+        match (was_awaited, view.is_awaited()) {
+            (false, true) => {
+                let stored = view.stored_version().unwrap_or(0);
+                log::warn!(
+                    version = known, stored;
+                    "the store lost the plan in force, which the operators have to write again"
+                );
+            }
+            (true, false) => log::info!(version = known; "the store has the plan in force"),
+            _ => {}
+        }
         self.relay.offer_plan(PlanReading {
             plan: view.plan().map(|plan| RoutePlan::clone(plan)),
             stored_version: view.stored_version(),
