Confirm the era again if a host was suspended before its promotion order

Found in review: the budget of 2.5 s until an era is settled assumed that an order follows its confirmation at once. A confirmation older than 0.5 s is now repeated, and orders wait until an era is 1.3 s old (1.0 s before).

--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -14,6 +14,7 @@
 use state::reading::StoreRevision;
 
 use crate::managed::change::{choose_successor, CandidateStatus, ChangeReason, SuccessorDecision};
+use crate::managed::era::CONFIRMATION_MAX_AGE;
 use crate::managed::group::ManagedGroup;
 use crate::managed::primary_view::{AnnouncedChange, GroupRow, ASSURANCE_DURATION};
 use crate::managed::promotion_lease::{
@@ -498,6 +499,9 @@
         if announced_in != Some(reading.marker.era) {
             return ChangeStep::Fail(ChangeFailure::EraEnded);
         }
+        if now.saturating_duration_since(reading.asked_at) > CONFIRMATION_MAX_AGE {
+            return self.wait_to_confirm(member, now);
+        }
         let order_wait = reading.marker.order_wait();
         if !order_wait.is_zero() {
             let until = reading.asked_at + order_wait;
--- a/crates/coordination/src/managed/era.rs
+++ b/crates/coordination/src/managed/era.rs
@@ -19,13 +19,15 @@
 
 /// Prefix of the keys of marker rows.
 const KEY_PREFIX: &str = "era/";
+/// Longest time from the read that confirms the era to a promotion order. An answer of
+/// a slow store takes 250 ms; a host that was suspended meanwhile confirms again.
+pub const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(500);
+/// Age of an era from which on promotions may be ordered: [`CONFIRMATION_MAX_AGE`], and
+/// the 800 ms after which the sender of an order that was not acknowledged discards it.
+pub const ORDER_DELAY: Duration = Duration::from_millis(1_300);
 /// Age of an era from which on a row without an announced change assures its primary:
-/// the time in which a last order of the former era is discarded by its sender (0.8 s),
-/// the time of a promotion (1 s), and a reserve for a slow answer of the store.
+/// [`ORDER_DELAY`], the time of a promotion (1 s), and a reserve.
 pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
-/// Age of an era from which on promotions may be ordered: the time after which the
-/// sender of an order that was not acknowledged discards it.
-pub const ORDER_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Value of an era's marker row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coordination/tests/managed_era.rs
+++ b/crates/coordination/tests/managed_era.rs
@@ -299,6 +299,8 @@
         name: &'static str,
         era: StoreEra,
         age: Duration,
+        /// Time from the read to its answer, in milliseconds.
+        answered_after: u64,
         expected: fn(&ChangeStep) -> bool,
     }
     let cases = [
@@ -306,18 +308,28 @@
             name: "the same era",
             era: SECOND,
             age: ms(1_700),
+            answered_after: 10,
             expected: |step| matches!(step, ChangeStep::Promote { .. }),
         },
+        ConfirmCase {
+            name: "the host was suspended after the read",
+            era: SECOND,
+            age: ms(1_700),
+            answered_after: 600,
+            expected: |step| matches!(step, ChangeStep::Wait { .. }),
+        },
         ConfirmCase {
             name: "orders of the former era may still arrive",
             era: SECOND,
             age: ms(800),
+            answered_after: 10,
             expected: |step| matches!(step, ChangeStep::Wait { .. }),
         },
         ConfirmCase {
             name: "the store returned since",
             era: StoreEra(3),
             age: ms(1_700),
+            answered_after: 10,
             expected: |step| *step == ChangeStep::Fail(ChangeFailure::EraEnded),
         },
     ];
@@ -342,7 +354,7 @@
         );
         driver.next(StepOutcome::Waited, 250);
         let lease = driver.lease(case.era, case.age, 250);
-        let step = driver.next(lease, 260);
+        let step = driver.next(lease, 250 + case.answered_after);
         expect_that!((case.expected)(&step), eq(true), "{}: {step:?}", case.name);
     }
 }
--- a/crates/coordination/tests/managed_steps.rs
+++ b/crates/coordination/tests/managed_steps.rs
@@ -44,17 +44,23 @@
     /// Passes an outcome that leads to a promotion order, and confirms the era.
     fn next_confirmed(&mut self, outcome: StepOutcome, millis: u64) -> ChangeStep {
         assert_eq!(self.next(outcome, millis), ChangeStep::ReadLease);
-        let lease = self.lease(None);
+        let lease = self.lease_at(None, millis);
         self.next(lease, millis)
     }
 
     fn lease(&self, row: Option<PromotionLease>) -> StepOutcome {
+        self.lease_at(row, 0)
+    }
+
+    /// Returns a reading of the lease row that was asked for `millis` milliseconds after
+    /// the start.
+    fn lease_at(&self, row: Option<PromotionLease>, millis: u64) -> StepOutcome {
         StepOutcome::Lease(LeaseReading {
             row,
             revision: 4,
             marker: marker(),
             store_time: Duration::from_secs(60),
-            asked_at: self.started,
+            asked_at: self.started + ms(millis),
         })
     }
 
