Do not panic when the head row of the documents comes from an older copy

The console and cassiactl panicked ("the revision of the head row must not fall"; the new test failed so before), and a revision that was given out again let a publication replace another document.

--- a/crates/coordination/src/publish.rs
+++ b/crates/coordination/src/publish.rs
@@ -203,15 +203,16 @@
     }
 
     fn after_read_back(&mut self, row: HeadRow) -> PublishAction {
-        if row.revision == self.head.revision {
+        if row == self.head {
             // The write has not taken effect yet but still may. A repeated write
             // at the same revision cannot take effect twice.
             return self.write_head();
         }
-        assert!(
-            row.revision > self.head.revision,
-            "the revision of the head row must not fall"
-        );
+        if row.revision <= self.head.revision {
+            // The table service returned from an older copy, which may have lost the
+            // write, and the write may still arrive.
+            return PublishAction::Unknown;
+        }
         self.outcome_from_head(&row)
     }
 
--- a/crates/coordination/tests/publish.rs
+++ b/crates/coordination/tests/publish.rs
@@ -217,3 +217,43 @@
     );
     expect_that!(view.release(at(5_001)), none());
 }
+
+/// Guards against a console that ends with a panic, and against a version that
+/// overwrites another one, when the table service returns from an older copy: the
+/// revision of the head row falls, or is given out again.
+#[gtest]
+fn a_head_row_of_another_history_leaves_the_outcome_unknown() {
+    struct HeadCase {
+        name: &'static str,
+        read_back: HeadRow,
+    }
+    let head = |revision, version, digest: &str| HeadRow {
+        revision,
+        value: Some(HeadValue {
+            stamp: DocumentStamp {
+                version,
+                digest: digest.to_owned(),
+            },
+            history: Vec::new(),
+        }),
+    };
+    let cases = [
+        HeadCase {
+            name: "the revision fell",
+            read_back: head(3, 2, "older"),
+        },
+        HeadCase {
+            name: "the revision was given out again",
+            read_back: head(5, 4, "other"),
+        },
+    ];
+    for case in cases {
+        let (mut publication, _) = DocumentPublication::start(4, "new");
+        publication.handle(PublishEvent::HeadRead(head(5, 4, "base")));
+        publication.handle(PublishEvent::BodyStored);
+        let read = publication.handle(PublishEvent::Lost);
+        expect_that!(read, eq(&PublishAction::ReadHead), "{}", case.name);
+        let outcome = publication.handle(PublishEvent::HeadRead(case.read_back));
+        expect_that!(outcome, eq(&PublishAction::Unknown), "{}", case.name);
+    }
+}
