Do not take a reading that another reader repeats for a recent one

Readers behind a partition answered each host that turned to them with their last plan, and its arrival counted: edge-na-a-4 changed its reader seven times from 3.15 to 10.36 and read the plan at 10.39. The age now counts from the read of the store, for the plan and the server list, too.

--- a/crates/coordination/src/managed/reader.rs
+++ b/crates/coordination/src/managed/reader.rs
@@ -31,6 +31,8 @@
 /// reader answers without readings, which it does when it cannot reach the store.
 const FALLBACK_READERS: f64 = 3.0;
 
+/// Time after which a reading that is late is overdue.
+const OVERDUE_AFTER: Duration = Duration::from_millis(1_500);
 /// Readers without an answer from which on a host relies on no other host: more than
 /// one of them hardly fails at the same time, but a partition cuts many off.
 const LOST_READERS: usize = 2;
@@ -55,6 +57,36 @@
     Overdue,
 }
 
+/// How old the readings of one kind are that came from readers.
+///
+/// # Invariants
+///
+/// `read_at` is an instant at which the store was read. When a reading arrives says
+/// nothing: a reader without a path to the store repeats its last one to each host that
+/// turns to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RelayedAge {
+    read_at: Option<Instant>,
+}
+
+impl RelayedAge {
+    /// Records a reading that was read from the store at `read_at`.
+    pub fn record(&mut self, read_at: Instant) {
+        self.read_at = self.read_at.max(Some(read_at));
+    }
+
+    /// Returns the age of the newest reading of a host that started at `started_at`. The
+    /// next one is due after `max_age`, and overdue after [`OVERDUE_AFTER`] more.
+    pub fn age(&self, started_at: Instant, max_age: Duration, now: Instant) -> ReadingAge {
+        let since = self.read_at.unwrap_or(started_at);
+        match now.saturating_duration_since(since) {
+            elapsed if self.read_at.is_some() && elapsed < max_age => ReadingAge::Recent,
+            elapsed if elapsed < max_age + OVERDUE_AFTER => ReadingAge::Late,
+            _ => ReadingAge::Overdue,
+        }
+    }
+}
+
 /// Where a host gets a reading from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadingSource {
--- a/crates/state/src/reading.rs
+++ b/crates/state/src/reading.rs
@@ -76,6 +76,8 @@
 pub struct ServerListReading {
     /// Era in which the list was read.
     pub era: StoreEra,
+    /// The store's monotonic clock at the time of the read.
+    pub store_time: Duration,
     /// Entries that were decoded.
     pub servers: Vec<ListedServer>,
     /// Entries that could not be decoded.
--- a/crates/transport/src/managed/relay.rs
+++ b/crates/transport/src/managed/relay.rs
@@ -12,7 +12,7 @@
 use coordination::managed::era::EraMarker;
 use coordination::managed::group::RELIST_GRACE;
 use coordination::managed::presence::{with_known_hosts, PresenceKeeper, PresenceRow};
-use coordination::managed::reader::{ReaderChoice, ReadingAge, ReadingSource};
+use coordination::managed::reader::{ReaderChoice, ReadingSource, RelayedAge};
 use coordination::managed::store_clock::StoreClock;
 use protocol::relay::{KnownReadings, ReadingsRequest, RelayedReadings, RelayedTable};
 use state::clock::MonotonicClock;
@@ -37,8 +37,6 @@
 /// The same limit for the server list and the plan, which are read less often.
 const LIST_AND_PLAN_MAX_AGE: Duration = Duration::from_millis(3_000);
 
-/// Time after these ages at which the host reads the store in any case.
-const OVERDUE_AFTER: Duration = Duration::from_millis(1_500);
 /// Shortest time between two answers that are sent only for their digests.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of the last answer or request up to which two hosts count as connected.
@@ -102,10 +100,12 @@
     /// When another host last asked for readings.
     asked_at: Option<Instant>,
     digests_offered_at: Option<Instant>,
-    /// Instants at which the last relayed reading of each kind arrived.
+    /// When the reader last sent rows of the groups.
     group_rows_at: Option<Instant>,
-    server_list_at: Option<Instant>,
-    plan_at: Option<Instant>,
+    /// Ages of the relayed readings.
+    group_rows: RelayedAge,
+    server_list: RelayedAge,
+    plan: RelayedAge,
 }
 
 /// The readings that this host offers.
@@ -159,8 +159,9 @@
                 asked_at: None,
                 digests_offered_at: None,
                 group_rows_at: None,
-                server_list_at: None,
-                plan_at: None,
+                group_rows: RelayedAge::default(),
+                server_list: RelayedAge::default(),
+                plan: RelayedAge::default(),
             }),
             changed: watch::Sender::new(0),
             hosts_changed: Notify::new(),
@@ -179,24 +180,15 @@
     pub(super) fn source(&self, kind: ReadingKind) -> ReadingSource {
         let now = self.clock.now();
         let state = self.lock();
-        if state.started_at.is_none() {
+        let Some(started_at) = state.started_at else {
             return ReadingSource::Reader;
-        }
-        let (arrived_at, max_age) = match kind {
-            ReadingKind::GroupRows => (state.group_rows_at, GROUP_ROWS_MAX_AGE),
-            ReadingKind::ServerList => (state.server_list_at, LIST_AND_PLAN_MAX_AGE),
-            ReadingKind::Plan => (state.plan_at, LIST_AND_PLAN_MAX_AGE),
         };
-        let elapsed = arrived_at
-            .or(state.started_at)
-            .map_or(Duration::ZERO, |instant| {
-                now.saturating_duration_since(instant)
-            });
-        let age = match elapsed {
-            elapsed if arrived_at.is_some() && elapsed < max_age => ReadingAge::Recent,
-            elapsed if elapsed < max_age + OVERDUE_AFTER => ReadingAge::Late,
-            _ => ReadingAge::Overdue,
+        let (relayed, max_age) = match kind {
+            ReadingKind::GroupRows => (state.group_rows, GROUP_ROWS_MAX_AGE),
+            ReadingKind::ServerList => (state.server_list, LIST_AND_PLAN_MAX_AGE),
+            ReadingKind::Plan => (state.plan, LIST_AND_PLAN_MAX_AGE),
         };
+        let age = relayed.age(started_at, max_age, now);
         let chance = rand::random_range(0.0..1.0);
         state.choice.source(age, chance, now)
     }
--- a/crates/transport/src/managed/relay/follower.rs
+++ b/crates/transport/src/managed/relay/follower.rs
@@ -124,21 +124,26 @@
         let read_at = hub.instant_of(reading.store_time);
         if let Some(read_at) = read_at.filter(|_| reading.revision.era == era) {
             apply_group_rows(context, &reading, read_at);
-            hub.lock().group_rows_at = Some(now);
+            let mut state = hub.lock();
+            state.group_rows_at = Some(now);
+            state.group_rows.record(read_at);
+            drop(state);
             hub.offer_group_rows(&reading);
         }
     }
     let server_list = readings.server_list.as_ref();
     if let Some(reading) = server_list.filter(|reading| reading.era == era) {
         apply_server_list(context, reading);
-        hub.lock().server_list_at = Some(now);
+        if let Some(read_at) = hub.instant_of(reading.store_time) {
+            hub.lock().server_list.record(read_at);
+        }
         hub.offer_server_list(reading);
     }
     if let Some(reading) = &readings.plan {
         let read_at = hub.instant_of(reading.store_time);
         if let Some(read_at) = read_at.filter(|_| reading.revision.era == era) {
             context.observe_plan(reading, read_at);
-            hub.lock().plan_at = Some(now);
+            hub.lock().plan.record(read_at);
         }
     }
     // The digests refer to the primaries of the rows above.
