--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use world::{ms, pause, Client, Site, StoreMode, World};
+use world::{pause, Client, Site, StoreMode, World};
 
 const ZONES: [&str; 4] = ["nbo-a", "nbo-a", "mba-a", "ksm-a"];
 
@@ -21,6 +21,12 @@
         eprintln!("usage: cases NAME FOLDER RECORD");
         std::process::exit(2);
     };
+    // `run.sh` ends the daemons that are left then.
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(100));
+        println!("the case took too long");
+        std::process::exit(2);
+    });
     let outcome = match name.as_str() {
         "lost" => lost(folder, record, &trouble),
         "newline" => newline(folder, record, &trouble),
@@ -176,26 +182,38 @@
     verdict(&world, &faults)
 }
 
-/// PINNED: a shape with blanks redefines the name that another client's shape has at the
-/// member.
+/// PINNED: a shape with blanks is unusable at the member though its preparing was
+/// acknowledged, or redefines the name that another client's shape has there.
 fn shape(folder: &str, record: &str, trouble: &str) -> Option<bool> {
     let (world, site) = start(folder, record, 0, &[("nofi621", "primary", 0)])?;
     let mut sent = HashMap::new();
+    let mut faults = Vec::new();
     let mut first = Client::connect(&world, "first", &site.hosts[0], "nofi621")?;
     let mut second = Client::connect(&world, "second", &site.hosts[0], "nofi621")?;
-    let mut run = |client: &mut Client, name: &str, access: &str, shape: &str, tail: &str| {
+    let mut run = |client: &mut Client, name: &str, shape: &str, tail: &str| {
         let id = world.id();
-        sent.insert(id.clone(), format!("EXECUTE[{access} {shape}] {tail}"));
+        sent.insert(id.clone(), format!("EXECUTE[WRITE {shape}] {tail}"));
         client.query(&id, &format!("EXECUTE {name} {tail}"))
     };
+    let (plain, other) = match trouble {
+        "0" => ("by-date", "q2d"),
+        _ => ("by date", "q2c WRITE or READ"),
+    };
+    let prepared = first.query(&world.id(), &format!("PREPARE s0 WRITE {plain}"))?;
+    let answer = run(&mut first, "s0", plain, "item0 data0")?;
+    if prepared.mac.is_some() && answer.mac.is_none() {
+        faults.push(format!(
+            "PINNED: PREPARE s0 WRITE {plain} was acknowledged, and EXECUTE s0 fails: {}",
+            answer.error.unwrap_or_default()
+        ));
+    }
     first.query(&world.id(), "PREPARE s1 WRITE q2c")?;
-    run(&mut first, "s1", "WRITE", "q2c", "item1 data1")?;
-    let other = if trouble == "0" { "q2d" } else { "q2c WRITE or READ" };
+    run(&mut first, "s1", "q2c", "item1 data1")?;
     second.query(&world.id(), &format!("PREPARE s1 WRITE {other}"))?;
-    run(&mut second, "s1", "WRITE", other, "item2 data2")?;
-    run(&mut first, "s1", "WRITE", "q2c", "item3 data3")?;
+    run(&mut second, "s1", other, "item2 data2")?;
+    run(&mut first, "s1", "q2c", "item3 data3")?;
     pause(200);
-    let faults: Vec<String> = unasked(&world, &sent).iter().map(|f| format!("PINNED: {f}")).collect();
+    faults.extend(unasked(&world, &sent).iter().map(|f| format!("PINNED: {f}")));
     verdict(&world, &faults)
 }
 
@@ -203,58 +221,70 @@
 /// members, so that a primary that joined since then goes unnoticed.
 fn stale(folder: &str, record: &str, trouble: &str) -> Option<bool> {
     let (world, site) = start(folder, record, 0, &[("nofi621", "primary", 0)])?;
+    let acknowledged: Arc<Mutex<(u32, String)>> = Arc::default();
+    let done = Arc::new(AtomicBool::new(false));
     let mut writer = Client::connect(&world, "writer", &site.hosts[0], "nofi621")?;
+    let (newest, end, clock) = (acknowledged.clone(), done.clone(), world.clone());
+    let writing = thread::spawn(move || {
+        let mut number = 0;
+        while !end.load(Ordering::Relaxed) {
+            number += 1;
+            let id = clock.id();
+            let Some(answer) = writer.query(&id, &format!("WRITE slot {number}")) else { return };
+            if answer.mac.is_some() {
+                *newest.lock().expect("newest") = (number, id);
+            }
+            pause(60);
+        }
+    });
     // The only host of its region, which has no other host to get readings from.
     let mut reader = Client::connect(&world, "reader", &site.hosts[2], "nofi621")?;
-    let mut number = 0;
-    let mut last = (0, world.id());
-    let mut faults = Vec::new();
-    let (mut reads, mut steps) = (0, 0);
-    let began = Instant::now();
-    while began.elapsed() < Duration::from_millis(9500) {
-        let elapsed = began.elapsed();
-        if trouble != "0" {
-            if steps == 0 && elapsed > ms(1000) {
-                steps = 1;
-                if trouble != "no-cut" {
-                    site.set_store(2, StoreMode::Busy);
-                }
-            }
-            if steps == 1 && elapsed > ms(2000) {
-                steps = 2;
-                if trouble != "no-deaf" {
-                    world.set_deaf("i-9046ff59", true);
-                    world.set_deaf("i-f773b3f1", true);
+    let (newest, end, clock) = (acknowledged.clone(), done.clone(), world.clone());
+    let reading = thread::spawn(move || {
+        let (mut reads, mut faults) = (0, Vec::new());
+        while !end.load(Ordering::Relaxed) {
+            let (value, by) = newest.lock().expect("newest").clone();
+            let id = clock.id();
+            let Some(answer) = reader.query(&id, "READ slot") else { break };
+            if answer.mac.is_some() {
+                reads += 1;
+                let seen: u32 = answer.rows.first().and_then(|row| row.parse().ok()).unwrap_or(0);
+                if seen < value {
+                    faults.push(format!(
+                        "STALE: read {id} on a primary route returned value {seen} of the item, though value \
+                         {value} ({by}) was acknowledged before the read was sent"
+                    ));
                 }
             }
-            if steps == 2 && elapsed > ms(2300) {
-                steps = 3;
-                world.add_member("i-c40e11d7", "nbo-a");
-                world.drain("i-7f3a91c2");
-            }
+            pause(20);
         }
-        number += 1;
-        let id = world.id();
-        if let Some(answer) = writer.query(&id, &format!("WRITE slot {number}")) {
-            if answer.mac.is_some() {
-                last = (number, id);
-            }
+        (reads, faults)
+    });
+    pause(1000);
+    if trouble != "0" {
+        if trouble != "no-cut" {
+            site.set_store(2, StoreMode::Busy);
         }
-        let Some(answer) = reader.query(&world.id(), "READ slot") else { break };
-        if answer.mac.is_some() {
-            reads += 1;
-            let seen: u32 = answer.rows.first().and_then(|row| row.parse().ok()).unwrap_or(0);
-            if seen < last.0 {
-                faults.push(format!(
-                    "STALE: a read on a primary route returned value {seen} of the item, though value {} ({}) was \
-                     acknowledged before the read was sent",
-                    last.0, last.1
-                ));
-            }
+        pause(1000);
+        if trouble != "no-deaf" {
+            world.set_deaf("i-9046ff59", true);
+            world.set_deaf("i-f773b3f1", true);
         }
-        pause(60);
+        pause(300);
+        // The primary is replaced: the new member starts first, the old one drains.
+        world.add_member("i-c40e11d7", "nbo-a");
+        world.drain("i-7f3a91c2");
+    }
+    pause(6000);
+    done.store(true, Ordering::Relaxed);
+    let _ = writing.join();
+    let (reads, mut faults) = reading.join().ok()?;
+    if trouble != "0" && world.lock().promotes.is_empty() {
+        world.note("no member was promoted");
+        return None;
     }
     println!("{reads} reads were answered, {} of them stale", faults.len());
+    world.note(&format!("{reads} reads were answered, {} of them stale", faults.len()));
     faults.truncate(3);
     verdict(&world, &faults)
 }
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -357,7 +357,7 @@
             members: Vec::new(),
             service: "dele69a".into(),
             sync_replicas,
-            promote_after: ms(600),
+            promote_after: ms(1000),
             runs: Vec::new(),
             promotes: Vec::new(),
             orders: Vec::new(),
@@ -433,7 +433,7 @@
             received_at: vec![now; log.len()],
             log,
             deaf: false,
-            lag: ms(8),
+            lag: ms(20),
             draining: false,
             listed: true,
             sequence: 0,
@@ -1151,6 +1151,8 @@
                 .stderr(errors)
                 .spawn()
                 .ok()?;
+            let pids = std::fs::OpenOptions::new().create(true).append(true).open(site.folder.join("pids"));
+            writeln!(pids.ok()?, "{}", child.id()).ok()?;
             world.note(&format!("start {name}: target/release/cassiad --managed --settings {name}.toml"));
             site.hosts.push(Host { name, front: ports[0], ready: ports[1], child, store_mode });
         }
