review: case 5, an empty list of tenants lets every key in

Cause: a plan without accounts counts as one that needs no keys, also if its routes are not public and the last account was taken away.

Change: a script that takes the only tenant away.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -31,6 +31,7 @@
         "lost" => lost(folder, record, &trouble),
         "newline" => newline(folder, record, &trouble),
         "shape" => shape(folder, record, &trouble),
+        "revoked" => revoked(folder, record, &trouble),
         "stale" => stale(folder, record, &trouble),
         _ => None,
     };
@@ -217,6 +218,49 @@
     verdict(&world, &faults)
 }
 
+/// ROUTE: once the last tenant's keys are taken away, every key is served.
+fn revoked(folder: &str, record: &str, trouble: &str) -> Option<bool> {
+    let routes = [("kafi500", "primary", 0)];
+    let (world, site) = start(folder, record, 0, &routes)?;
+    let tenant = r#"[{"name":"club-tema","apiKeys":["u3f1"],"ratePerS":50,"burst":50,"priority":1}]"#;
+    world.configure_with(8, &routes, Some(tenant));
+    pause(5500);
+    let host = &site.hosts[0];
+    let mut member = Client::connect_with(&world, "member", host, "kafi500", "u3f1")?;
+    member.query(&world.id(), "WRITE medal gold")?.mac?;
+    if Client::connect_with(&world, "stranger", host, "kafi500", "no-such-key").is_some() {
+        world.note("the stranger got in before the disruption");
+        return None;
+    }
+    if trouble != "0" {
+        world.configure_with(9, &routes, Some("[]"));
+    }
+    // `configApplyMs` of the sheets with tenants is 5,000.
+    pause(6000);
+    let mut faults = Vec::new();
+    let mut run = |client: &mut Client, name: &str, why: &str, text: &str| {
+        let id = world.id();
+        let answer = client.query(&id, text);
+        let state = world.lock();
+        for run in state.runs.iter().filter(|run| run.id == id) {
+            faults.push(format!(
+                "{why}: {} ran {id} {text:?} of client {name}, told as of {:?}; the client got {:?}",
+                run.member,
+                run.caller,
+                answer.as_ref().map(|answer| &answer.rows)
+            ));
+        }
+    };
+    if let Some(mut stranger) = Client::connect_with(&world, "stranger", host, "kafi500", "no-such-key") {
+        run(&mut stranger, "stranger", "ROUTE (no configuration ever held its key)", "READ medal");
+        run(&mut stranger, "stranger", "ROUTE (no configuration ever held its key)", "WRITE medal stolen");
+    }
+    if trouble != "0" {
+        run(&mut member, "member", "CONFIG (its key was dropped 6 s before)", "READ medal");
+    }
+    verdict(&world, &faults)
+}
+
 /// STALE: a host that the store turns away takes the members of its last list for all
 /// members, so that a primary that joined since then goes unnoticed.
 fn stale(folder: &str, record: &str, trouble: &str) -> Option<bool> {
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -304,6 +304,7 @@
 pub struct Run {
     pub member: String,
     pub connection: u64,
+    pub caller: String,
     pub id: String,
     /// The statement; an EXECUTE is written out as `EXECUTE[access shape] item data`.
     pub text: String,
@@ -383,6 +384,13 @@
 
     /// Writes a configuration. `routes` are hostname, type, maxStalenessMs.
     pub fn configure(&self, version: u64, routes: &[(&str, &str, u64)]) {
+        self.configure_with(version, routes, None);
+    }
+
+    /// Writes a configuration; with `tenants`, their list, and routes that need a key.
+    pub fn configure_with(&self, version: u64, routes: &[(&str, &str, u64)], tenants: Option<&str>) {
+        let public = if tenants.is_some() { ",\"public\":false" } else { "" };
+        let tenants = tenants.map_or(String::new(), |list| format!("\"tenants\":{list},"));
         let mut state = self.lock();
         let service = state.service.clone();
         let routes: Vec<String> = routes
@@ -395,12 +403,12 @@
                 format!(
                     "{{\"name\":\"r-{host}\",\"hostname\":\"{host}\",\"prefix\":\"/\",\"type\":\"{kind}\",\
                      \"timeoutMs\":800,\"targetLatencyMs\":400,\"priority\":1,\"service\":\"{service}\",\
-                     \"maxAttempts\":2{stale}}}"
+                     \"maxAttempts\":2{stale}{public}}}"
                 )
             })
             .collect();
         let text = format!(
-            "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{service}\",\
+            "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[{{\"name\":\"{service}\",\
              \"healthPath\":\"/health\",\"maxConns\":28,\"protocol\":\"h1\",\"tls\":false,\
              \"syncReplicas\":{}}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\
              \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"txIdleMs\":3000}}}}",
@@ -561,6 +569,7 @@
                 && fields.get(2).is_none_or(|id| *id == member.id);
             session.greeted = right;
             session.closed = !right;
+            session.caller = fields.get(1).map_or(String::new(), |name| (*name).to_owned());
             return Some(match right {
                 true => format!("READY I {}\r\n", member.position(member.applied())),
                 false => format!("ERROR MOVED {}\r\n", member.id),
@@ -748,13 +757,14 @@
         let number = member.log.len();
         let shown_rows = rows.join("|");
         let line = match wrote {
-            true => format!("{name} conn {} runs {id} {shown:?} as commit {term}.{number}", session.connection),
-            false => format!("{name} conn {} runs {id} {shown:?} rows {shown_rows:?}", session.connection),
+            true => format!("{name} conn {} ({}) runs {id} {shown:?} as commit {term}.{number}", session.connection, session.caller),
+            false => format!("{name} conn {} ({}) runs {id} {shown:?} rows {shown_rows:?}", session.connection, session.caller),
         };
         state.note(&line);
         state.runs.push(Run {
             member: name,
             connection: session.connection,
+            caller: session.caller.clone(),
             id: id.into(),
             text: shown.into(),
             mac: mac.clone(),
@@ -1076,6 +1086,8 @@
     connection: u64,
     greeted: bool,
     closed: bool,
+    /// Who connects, as the greeting says.
+    caller: String,
     values: HashMap<String, String>,
     prepared: HashMap<String, (String, String)>,
     /// Writes of the open transaction.
@@ -1222,12 +1234,17 @@
 
 impl Client {
     pub fn connect(world: &World, name: &str, host: &Host, database: &str) -> Option<Client> {
+        Client::connect_with(world, name, host, database, "u3f1")
+    }
+
+    /// Opens a session with a key; `None` if the daemon refuses it.
+    pub fn connect_with(world: &World, name: &str, host: &Host, database: &str, key: &str) -> Option<Client> {
         let stream = TcpStream::connect(("127.0.0.1", host.front)).ok()?;
         stream.set_nodelay(true).ok()?;
         let mut client = Client { world: world.clone(), name: name.into(), stream, input: Vec::new() };
-        client.send(&format!("CONNECT {database} u3f1"));
+        client.send(&format!("CONNECT {database} {key}"));
         let line = client.line(ms(2000))?;
-        world.note(&format!("client {name} at {}: CONNECT {database} -> {line}", host.name));
+        world.note(&format!("client {name} at {}: CONNECT {database} {key} -> {line}", host.name));
         line.starts_with("READY").then_some(client)
     }
 
