--- a/crates/transport/src/backend.rs
+++ b/crates/transport/src/backend.rs
@@ -22,6 +22,7 @@
 pub use login::BackendIdentity;
 
 use crate::group_handle::TermWatch;
+use crate::pool::IdleState;
 
 /// Idle time before the first TCP keep-alive probe. With the interval and the
 /// number of probes below, a dead peer is detected after 11 s. This is sooner
@@ -338,13 +339,10 @@
         self.stream.readable().await
     }
 
-    /// Returns whether an idle connection still works, which means that it is
-    /// open and has no unexpected bytes to read. It must not be called while the
-    /// connection is in use, because the check may consume a byte.
-    pub fn is_alive(&self) -> bool {
-        let mut probe = [0; 1];
-        let read = self.stream.try_read(&mut probe);
-        matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    /// Returns what the socket of an idle connection shows. It must not be called
+    /// while the connection is in use, because the check may consume a byte.
+    pub fn idle_state(&self) -> IdleState {
+        idle_state(&self.stream)
     }
 
     /// Reads the bytes that have arrived, without waiting; returns false if there
@@ -424,6 +422,17 @@
     SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
+/// Returns what the socket of an idle connection shows. The check may consume a byte.
+pub(crate) fn idle_state(stream: &TcpStream) -> IdleState {
+    let mut probe = [0; 1];
+    match stream.try_read(&mut probe) {
+        Ok(0) => IdleState::Closed,
+        Ok(_) => IdleState::Surplus,
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => IdleState::Alive,
+        Err(_) => IdleState::Closed,
+    }
+}
+
 /// Sends a cancel request for a database session, on a separate connection as
 /// the protocol requires.
 pub async fn cancel(address: SocketAddr, key: BackendCancelKey, deadline: Instant) -> Result<()> {
--- a/crates/transport/src/backend/pooling.rs
+++ b/crates/transport/src/backend/pooling.rs
@@ -6,7 +6,7 @@
 use protocol::frame::tag;
 
 use super::{BackendConnection, BackendError, BackendIdentity, Result, STATUS_IDLE};
-use crate::pool::{ReleaseState, ServerConnection};
+use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
 /// Limit on the time to reset a connection. A connection whose reset takes
 /// longer is closed.
@@ -36,8 +36,8 @@
         matches!(error, BackendError::Refused { .. })
     }
 
-    fn is_alive(&self) -> bool {
-        self.is_alive()
+    fn idle_state(&self) -> IdleState {
+        self.idle_state()
     }
 
     fn received_at(&self) -> Instant {
--- a/crates/transport/src/managed/hop.rs
+++ b/crates/transport/src/managed/hop.rs
@@ -17,7 +17,7 @@
     ConnectionError, ConnectionIdentity, ConnectionOwner, ConnectionSetup, MemberAnswer,
     MemberConnection, Result,
 };
-use crate::pool::{ReleaseState, ServerConnection};
+use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
 /// What opening a link to a member needs.
 #[derive(Clone, Debug)]
@@ -115,10 +115,10 @@
         MemberConnection::<K>::is_refusal(error)
     }
 
-    fn is_alive(&self) -> bool {
+    fn idle_state(&self) -> IdleState {
         match self {
-            Self::Direct(connection) => connection.is_alive(),
-            Self::Relayed(_) => true,
+            Self::Direct(connection) => connection.idle_state(),
+            Self::Relayed(_) => IdleState::Alive,
         }
     }
 
--- a/crates/transport/src/managed/hop/client.rs
+++ b/crates/transport/src/managed/hop/client.rs
@@ -26,7 +26,7 @@
 use tokio::time::timeout_at;
 
 use crate::managed::member_connection::{
-    ConnectionError, ConnectionOwner, ConnectionSetup, MemberAnswer, Result,
+    AnswerOrigin, ConnectionError, ConnectionOwner, ConnectionSetup, MemberAnswer, Result,
 };
 use crate::managed::metrics::ForwardMetrics;
 use crate::managed::relay::FRAME_LIMIT_BYTES;
@@ -441,6 +441,7 @@
                 self.state = state;
                 self.transaction = transaction.map(|key| (open, key));
                 Ok(MemberAnswer {
+                    origin: AnswerOrigin::default(),
                     rows: rows.into_iter().map(Bytes::from).collect(),
                     outcome: outcome.map(Bytes::from),
                     position,
--- a/crates/transport/src/managed/hop/server.rs
+++ b/crates/transport/src/managed/hop/server.rs
@@ -237,6 +237,14 @@
             .await
             .map_err(|error| member_failed(&group, member, &error, sent_at, true))?;
         group.record_answer(member, &answer, sent_at.boot_time);
+        log::info!(
+            request = request.id.as_str(),
+            group = group.name.as_str(),
+            member = request.member.as_str(),
+            connection = answer.origin.connection,
+            ordinal = answer.origin.ordinal;
+            "forwarded statement placed"
+        );
         let state = link.state();
         let transaction = (state == TransactionState::Open).then(|| self.keep(held));
         Ok(ForwardReply::Answered {
--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -4,6 +4,7 @@
 use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
 
 use super::codec::StatementCodec;
 use crate::backend;
-use crate::pool::{ReleaseState, ServerConnection};
+use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
 /// Buffer space reserved for one read from the socket, in bytes.
 const READ_BYTES: usize = 8 << 10;
@@ -28,6 +29,8 @@
 /// Connections that one host opens to a member at the same time. Each costs 12 ms of a
 /// slot of the member; after a loss of many hosts, all others open connections at once.
 const ATTEMPTS_MAX: usize = 2;
+/// Number of the connection that was opened last.
+static LAST_NUMBER: AtomicU64 = AtomicU64::new(0);
 
 /// Result of an operation on a connection.
 pub(crate) type Result<T> = std::result::Result<T, ConnectionError>;
@@ -121,9 +124,19 @@
     pub(crate) host: String,
 }
 
+/// Where an answer was read, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct AnswerOrigin {
+    /// Number of the connection in this process; 0 for an answer that a holder read.
+    pub(crate) connection: u64,
+    /// Position of the answer among those of the connection; the first one is 1.
+    pub(crate) ordinal: u64,
+}
+
 /// A member's answer to one statement.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberAnswer {
+    pub(crate) origin: AnswerOrigin,
     pub(crate) rows: Vec<Bytes>,
     /// The member's signature, or its refusal with the text of the refusal.
     pub(crate) outcome: std::result::Result<Bytes, (MemberRefusal, String)>,
@@ -152,9 +165,10 @@
 ///
 /// `outstanding` counts the answers that the member still owes. The connection is
 /// reused only while `outstanding` is zero. `values` and `prepared` hold what the
-/// member acknowledged on this connection.
+/// member acknowledged on this connection. `origin` is that of the last answer.
 #[derive(Debug)]
 pub(crate) struct MemberConnection<K> {
+    origin: AnswerOrigin,
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
@@ -186,6 +200,10 @@
         backend::configure(&stream)
             .map_err(|error| ConnectionError::TurnedAway(error.to_string()))?;
         let mut connection = Self {
+            origin: AnswerOrigin {
+                connection: LAST_NUMBER.fetch_add(1, Ordering::Relaxed) + 1,
+                ordinal: 0,
+            },
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -326,7 +344,9 @@
                     };
                     self.state = state;
                     self.outstanding -= 1;
+                    self.origin.ordinal += 1;
                     return Ok(MemberAnswer {
+                        origin: self.origin,
                         rows,
                         outcome,
                         position,
@@ -398,10 +418,16 @@
         )
     }
 
-    fn is_alive(&self) -> bool {
-        let mut probe = [0; 1];
-        let read = self.stream.try_read(&mut probe);
-        matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    fn idle_state(&self) -> IdleState {
+        let state = backend::idle_state(&self.stream);
+        if state == IdleState::Surplus {
+            let AnswerOrigin {
+                connection,
+                ordinal,
+            } = self.origin;
+            log::warn!(connection, ordinal; "surplus bytes of a member");
+        }
+        state
     }
 
     fn received_at(&self) -> Instant {
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -89,7 +89,7 @@
             events: IntCounterVec::new(
                 Opts::new(
                     "cassia_entry_member_connections_total",
-                    "Connections to members that were opened, closed or turned away.",
+                    "Connections to members that were opened, closed, turned away or had surplus bytes.",
                 ),
                 &["member", "event"],
             )?,
@@ -243,6 +243,7 @@
             ("opened", counts.opened),
             ("closed", counts.closed),
             ("turned_away", counts.turned_away),
+            ("surplus", counts.surplus),
         ];
         for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
             let counter = self.connections.events.with_label_values(&[member, event]);
--- a/crates/transport/src/managed/session.rs
+++ b/crates/transport/src/managed/session.rs
@@ -428,7 +428,14 @@
         if access == StatementAccess::Write {
             self.own_position = placed.answer.position.or(self.own_position);
         }
-        log_placed(id, &group, placed.member, &placed.answer, placed.attempts);
+        log_placed(
+            id,
+            body,
+            &group,
+            placed.member,
+            &placed.answer,
+            placed.attempts,
+        );
         Ok(placed.answer)
     }
 
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -40,6 +40,8 @@
 /// and after this time the statement can still go to another member.
 pub(super) const SETUP_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Characters of a text of a caller or member that a log line quotes.
+const LOGGED_CHARS: usize = 64;
 /// Lowest priority of an account.
 const LOWEST_PRIORITY: u8 = 9;
 /// Time after which a caller may retry if no queue estimated one.
@@ -707,9 +709,10 @@
     connection.ask(&statement, deadline).await
 }
 
-/// Logs which member answered a statement.
+/// Logs which member answered a statement, and where the answer was read.
 pub(super) fn log_placed<K: StatementCodec, C: MonotonicClock>(
     id: &str,
+    body: StatementBody<'_>,
     group: &GroupRuntime<K, C>,
     member: MemberKey,
     answer: &MemberAnswer,
@@ -721,8 +724,17 @@
         (name, group.primary_view.term().0)
     });
     let position = answer.position.unwrap_or_default();
+    let shape = body.shape().map_or("", |shape| shape.shape.as_str());
+    let shape: String = shape.chars().take(LOGGED_CHARS).collect();
+    let signature = answer.outcome.as_deref().unwrap_or_default();
+    let signature = String::from_utf8_lossy(&signature[..signature.len().min(LOGGED_CHARS)]);
     log::info!(
         request = id,
+        bytes = body.forwarded_bytes(),
+        shape = shape.as_str(),
+        connection = answer.origin.connection,
+        ordinal = answer.origin.ordinal,
+        signature = signature.as_ref(),
         group = group.name.as_str(),
         member = member.as_str(),
         term,
--- a/crates/transport/src/managed/statement_request.rs
+++ b/crates/transport/src/managed/statement_request.rs
@@ -65,6 +65,15 @@
             Self::Text(_) | Self::Commit => None,
         }
     }
+
+    /// Returns the length in bytes of the caller's text that is forwarded.
+    pub(super) fn forwarded_bytes(&self) -> usize {
+        match self {
+            Self::Text(text) => text.len(),
+            Self::Execute { arguments, .. } => arguments.len(),
+            Self::Commit => 0,
+        }
+    }
 }
 
 /// The transaction that a statement begins.
--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -140,6 +140,7 @@
         let placed = runner.run().await?;
         log_placed(
             id,
+            body,
             &self.group,
             placed.member,
             &placed.answer,
@@ -176,7 +177,7 @@
         let answer = ask_while_busy(connection, id, body, deadline).await?;
         let metrics = &context.metrics;
         metrics.count_member(connection.pool().name(), outcome_label(&answer));
-        log_placed(id, &self.group, *member, &answer, 1);
+        log_placed(id, body, &self.group, *member, &answer, 1);
         Ok(answer)
     }
 
@@ -210,7 +211,8 @@
                 Ok(_) => {
                     self.group.record_answer(member, &answer, sent_at.boot_time);
                     self.confirm(context, deadline).await?;
-                    log_placed(id, &self.group, member, &answer, 1);
+                    let body = StatementBody::Commit;
+                    log_placed(id, body, &self.group, member, &answer, 1);
                     return Ok(answer);
                 }
                 Err((MemberRefusal::Busy, _)) if Instant::now() + BUSY_PAUSE < deadline => {
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -28,7 +28,7 @@
 use attempts::ConnectAttempts;
 
 pub use attempts::ConnectionCounts;
-pub use connection::{ReleaseState, ServerConnection};
+pub use connection::{IdleState, ReleaseState, ServerConnection};
 pub use gate::{AdmissionGate, AdmissionPermit};
 pub use pooled_connection::PooledConnection;
 
@@ -305,7 +305,7 @@
                     })
                 }
             };
-            if pooled.connection.as_ref().is_some_and(C::is_alive) {
+            if self.can_reuse(pooled.connection.as_ref()) {
                 return Ok(pooled);
             }
             if !pooled.is_attempt {
@@ -326,12 +326,24 @@
         }
     }
 
+    /// Returns whether an idle connection can be used again.
+    fn can_reuse(&self, connection: Option<&C>) -> bool {
+        match connection.map(C::idle_state) {
+            Some(IdleState::Alive) => true,
+            Some(IdleState::Surplus) => {
+                self.lock().attempts.record_surplus();
+                false
+            }
+            Some(IdleState::Closed) | None => false,
+        }
+    }
+
     /// Returns an idle connection, if there is one that is open.
     pub fn take_idle(self: &Arc<Self>) -> Option<PooledConnection<C>> {
         loop {
             let IdleConnection { owner, connection } = self.lock().idle.pop()?;
             let pooled = self.wrap(owner, Capacity::Idle(connection));
-            if pooled.is_alive() {
+            if self.can_reuse(pooled.connection.as_ref()) {
                 return Some(pooled);
             }
             pooled.close();
--- a/crates/transport/src/pool/attempts.rs
+++ b/crates/transport/src/pool/attempts.rs
@@ -18,6 +18,8 @@
     pub closed: u64,
     /// Attempts that the server refused at its connection limit.
     pub turned_away: u64,
+    /// Idle connections on which the server sent bytes that nothing was waiting for.
+    pub surplus: u64,
     /// Time that requests spent until they had a connection or gave up.
     pub waited: Duration,
 }
@@ -78,6 +80,11 @@
         self.refusals += 1;
     }
 
+    /// Records that an idle connection had bytes to read.
+    pub(super) fn record_surplus(&mut self) {
+        self.counts.surplus += 1;
+    }
+
     /// Records how long a request waited for a connection.
     pub(super) fn record_wait(&mut self, waited: Duration) {
         self.counts.waited += waited;
--- a/crates/transport/src/pool/connection.rs
+++ b/crates/transport/src/pool/connection.rs
@@ -16,6 +16,17 @@
     Broken,
 }
 
+/// What the socket of an idle connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleState {
+    /// The connection is open and has nothing to read.
+    Alive,
+    /// The connection was closed or failed.
+    Closed,
+    /// The server sent bytes that no request is waiting for.
+    Surplus,
+}
+
 /// A connection that a pool can open, hand out and reset.
 pub trait ServerConnection: Debug + Send + Sized + 'static {
     /// The user, the database and other data that opening a connection needs.
@@ -41,8 +52,9 @@
     /// Returns whether the server answered with a refusal, which shows that it
     /// is alive.
     fn is_refusal(error: &Self::Error) -> bool;
-    /// Returns whether an idle connection is open and has nothing to read.
-    fn is_alive(&self) -> bool;
+    /// Returns what the socket of an idle connection shows. A connection that is not
+    /// [`IdleState::Alive`] must not be used again.
+    fn idle_state(&self) -> IdleState;
     /// Returns the time at which the last byte was received.
     fn received_at(&self) -> Instant;
     /// Ends the current use of the connection and returns whether it can be
--- a/crates/transport/tests/pool_capacity.rs
+++ b/crates/transport/tests/pool_capacity.rs
@@ -9,7 +9,9 @@
 use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::time::sleep;
-use transport::pool::{AdmissionGate, MemberPool, PoolError, ReleaseState, ServerConnection};
+use transport::pool::{
+    AdmissionGate, IdleState, MemberPool, PoolError, ReleaseState, ServerConnection,
+};
 
 /// Time in which the server answers a greeting.
 const GREETING: Duration = Duration::from_millis(12);
@@ -73,8 +75,8 @@
         true
     }
 
-    fn is_alive(&self) -> bool {
-        true
+    fn idle_state(&self) -> IdleState {
+        IdleState::Alive
     }
 
     fn received_at(&self) -> Instant {
--- a/crates/transport/tests/pool_owners.rs
+++ b/crates/transport/tests/pool_owners.rs
@@ -10,7 +10,8 @@
 use tokio::task::yield_now;
 use tokio::time::sleep;
 use transport::pool::{
-    AdmissionGate, MemberPool, PoolError, PooledConnection, ReleaseState, ServerConnection,
+    AdmissionGate, IdleState, MemberPool, PoolError, PooledConnection, ReleaseState,
+    ServerConnection,
 };
 
 /// Longest wait of a request that gets a connection.
@@ -82,8 +83,8 @@
         *error == OwnerError::AtLimit
     }
 
-    fn is_alive(&self) -> bool {
-        true
+    fn idle_state(&self) -> IdleState {
+        IdleState::Alive
     }
 
     fn received_at(&self) -> Instant {
