standin: end messages at CR LF, keep shapes, repeat answers

The stand-in split the stream at LF, as the codec under test does, kept only the kind of a prepared statement and signed the proxy's own statements, so that no test could show what members run for texts with line feeds or shapes with blanks, nor what a second answer does. It now follows the published protocol: messages end at CR LF, PREPARE needs READ or WRITE and a shape, answers to the id '-' have no signature. Members record each caller's statement as they parsed it, can send answers twice and can refuse statements as busy. Ids of a caller's statements are unique in the process, because a signature belongs to one statement.

--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -5,6 +5,7 @@
 //! adapter relies on, and tests can inject faults.
 
 mod caller;
+mod framing;
 mod identity;
 mod member;
 mod store;
@@ -20,7 +21,7 @@
 
 pub use caller::{LineCaller, NOT_APPLIED_CODES};
 use identity::IdentityCheck;
-pub use member::MemberSnapshot;
+pub use member::{AnswerRepeat, MemberSnapshot, RanStatement};
 use member::{GroupState, MemberState};
 use store::{StoreState, StoreView};
 
@@ -226,6 +227,18 @@
         self.lock().group.write_delay = delay;
     }
 
+    /// Makes members send answers a second time, or only once again. Answers to greetings
+    /// are not repeated.
+    pub fn repeat_answers(&self, repeat: Option<AnswerRepeat>) {
+        self.lock().group.repeat = repeat;
+    }
+
+    /// Makes members refuse the next `count` statements of callers as busy, without running
+    /// them.
+    pub fn refuse_as_busy(&self, count: u32) {
+        self.lock().group.busy_left = count;
+    }
+
     /// Returns the newest revision of the store.
     pub fn store_version(&self) -> u64 {
         self.lock().store.version()
--- a/crates/standin/src/managed/caller.rs
+++ b/crates/standin/src/managed/caller.rs
@@ -2,12 +2,18 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::framing::MessageReader;
+
+/// Number of the caller that was opened last.
+static LAST_CALLER: AtomicU64 = AtomicU64::new(0);
+
 /// Error codes which guarantee that no effect of the attempt is kept.
 pub const NOT_APPLIED_CODES: [&str; 6] = [
     "BUSY",
@@ -18,10 +24,15 @@
     "CONNLIMIT",
 ];
 
-/// A caller's connection that sends one line at a time.
+/// A caller's connection that sends one message at a time.
+///
+/// # Invariants
+///
+/// No two statements of a process have the same id.
 #[derive(Debug)]
 pub struct LineCaller {
-    stream: BufReader<TcpStream>,
+    stream: MessageReader<TcpStream>,
+    number: u64,
     statements: u64,
 }
 
@@ -29,7 +40,8 @@
     /// Connects without opening a session.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         Ok(Self {
-            stream: BufReader::new(TcpStream::connect(address).await?),
+            stream: MessageReader::new(TcpStream::connect(address).await?),
+            number: LAST_CALLER.fetch_add(1, Ordering::Relaxed) + 1,
             statements: 0,
         })
     }
@@ -49,18 +61,17 @@
     /// the end of the stream.
     pub async fn ask(&mut self, line: &str, limit: Duration) -> io::Result<Vec<String>> {
         let text = format!("{line}\r\n");
-        timeout(limit, self.stream.write_all(text.as_bytes())).await??;
+        let sent = self.stream.stream_mut().write_all(text.as_bytes());
+        timeout(limit, sent).await??;
         let mut lines = Vec::new();
-        loop {
-            let mut line = String::new();
-            if timeout(limit, self.stream.read_line(&mut line)).await?? == 0 {
-                return Ok(lines);
-            }
-            lines.push(line.trim_end_matches(['\r', '\n']).to_owned());
-            if line.starts_with("READY") {
-                return Ok(lines);
+        while let Some(line) = timeout(limit, self.stream.next()).await?? {
+            let is_end = line.starts_with("READY");
+            lines.push(line);
+            if is_end {
+                break;
             }
         }
+        Ok(lines)
     }
 
     /// Sends a statement with the next statement id and returns the answer.
@@ -72,6 +83,6 @@
 
     /// Returns the id of the statement that was sent last.
     pub fn last_id(&self) -> String {
-        format!("q{}", self.statements)
+        format!("q{}-{}", self.number, self.statements)
     }
 }
--- /dev/null
+++ b/crates/standin/src/managed/framing.rs
@@ -0,0 +1,48 @@
+//! Messages of the line protocol: text that ends at CR LF.
+
+use std::io;
+
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// End of a message. A CR or LF alone is part of the text.
+const MESSAGE_END: &[u8] = b"\r\n";
+/// Buffer space reserved for one read, in bytes.
+const READ_BYTES: usize = 4 << 10;
+
+/// Reads messages from a byte stream.
+#[derive(Debug)]
+pub(super) struct MessageReader<R> {
+    stream: R,
+    input: Vec<u8>,
+}
+
+impl<R: AsyncRead + Unpin> MessageReader<R> {
+    pub(super) fn new(stream: R) -> Self {
+        Self {
+            stream,
+            input: Vec::new(),
+        }
+    }
+
+    /// Returns the stream, for writes.
+    pub(super) fn stream_mut(&mut self) -> &mut R {
+        &mut self.stream
+    }
+
+    /// Returns the next message without its end, or `None` at the end of the stream.
+    pub(super) async fn next(&mut self) -> io::Result<Option<String>> {
+        loop {
+            let mut pairs = self.input.windows(MESSAGE_END.len());
+            if let Some(end) = pairs.position(|pair| pair == MESSAGE_END) {
+                let rest = self.input.split_off(end + MESSAGE_END.len());
+                let mut message = std::mem::replace(&mut self.input, rest);
+                message.truncate(end);
+                return Ok(Some(String::from_utf8_lossy(&message).into_owned()));
+            }
+            self.input.reserve(READ_BYTES);
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+}
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -6,13 +6,20 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use super::framing::MessageReader;
 use super::{lock, SiteState, GROUP};
 
+/// Id of statements that the proxy sends on its own behalf. Their answers have no
+/// signature.
+const OWN_ID: &str = "-";
+
 /// Time after which a superseded primary becomes a replica of its successor.
 const SUPERSEDED_AFTER: Duration = Duration::from_secs(1);
 
@@ -35,6 +42,40 @@
     pub data: Vec<String>,
     /// Ids of the statements that the member executed, in order.
     pub ran: Vec<String>,
+    /// The callers' statements that the member executed, in order.
+    pub statements: Vec<RanStatement>,
+}
+
+/// A caller's statement as a member executed it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RanStatement {
+    /// The caller's id.
+    pub id: String,
+    /// `READ`, `WRITE` or `COMMIT`.
+    pub kind: String,
+    /// Shape of the prepared statement; `None` for a direct statement.
+    pub shape: Option<String>,
+    /// Item and data, as the member parsed them.
+    pub arguments: String,
+}
+
+/// Which answers members send twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerRepeat {
+    /// Every answer, the second time this long after the first.
+    All(Duration),
+    /// Refusals only, the second time this long after the first.
+    Refusals(Duration),
+}
+
+impl AnswerRepeat {
+    /// Returns when an answer is sent again, counted from the first time.
+    fn delay_of(self, answer: &str) -> Option<Duration> {
+        match self {
+            Self::All(delay) => Some(delay),
+            Self::Refusals(delay) => answer.starts_with("ERROR").then_some(delay),
+        }
+    }
 }
 
 /// State of one member.
@@ -57,6 +98,7 @@
     term: u64,
     log: Vec<LogEntry>,
     ran: Vec<String>,
+    statements: Vec<RanStatement>,
 }
 
 impl MemberState {
@@ -75,6 +117,7 @@
             term: 1,
             log: Vec::new(),
             ran: Vec::new(),
+            statements: Vec::new(),
         }
     }
 
@@ -104,6 +147,22 @@
             is_primary: self.is_primary,
             data: self.log.iter().map(|entry| entry.data.clone()).collect(),
             ran: self.ran.clone(),
+            statements: self.statements.clone(),
+        }
+    }
+
+    /// Records a caller's statement that this member is about to execute. A replica
+    /// executes only reads.
+    fn record_statement(&mut self, id: &str, shape: Option<String>, resolved: &str) {
+        let (kind, arguments) = resolved.split_once(' ').unwrap_or((resolved, ""));
+        let is_executed = kind == "READ" || matches!(kind, "WRITE" | "COMMIT") && self.is_primary;
+        if is_executed {
+            self.statements.push(RanStatement {
+                id: id.to_owned(),
+                kind: kind.to_owned(),
+                shape,
+                arguments: arguments.to_owned(),
+            });
         }
     }
 
@@ -135,6 +194,9 @@
     pub(super) replication_held: bool,
     /// Time from the effect of a write to its answer.
     pub(super) write_delay: Duration,
+    pub(super) repeat: Option<AnswerRepeat>,
+    /// Number of the callers' next statements that are refused as busy.
+    pub(super) busy_left: u32,
     /// Index of the member that was promoted last.
     primary: usize,
     pub(super) promotions: Vec<u64>,
@@ -164,6 +226,31 @@
         }
     }
 
+    /// Returns a statement's text without its required position, or the code of the
+    /// refusal.
+    fn admit<'t>(
+        &mut self,
+        index: usize,
+        id: &str,
+        text: &'t str,
+    ) -> Result<&'t str, &'static str> {
+        let text = match text.strip_prefix("SINCE ") {
+            Some(rest) => {
+                let (position, rest) = rest.split_once(' ').ok_or("MALFORMED")?;
+                if !self.members[index].contains_position(position) {
+                    return Err("LAGGING");
+                }
+                rest
+            }
+            None => text,
+        };
+        if id != OWN_ID && self.busy_left > 0 {
+            self.busy_left -= 1;
+            return Err("BUSY");
+        }
+        Ok(text)
+    }
+
     pub(super) fn promote(&mut self, id: &str) {
         let previous = self.primary;
         let Some(index) = self
@@ -222,11 +309,18 @@
     client: String,
     /// Writes of the open transaction; `None` outside of a transaction.
     transaction: Option<Vec<LogEntry>>,
-    prepared: HashMap<String, String>,
+    prepared: HashMap<String, StatementShape>,
     /// Session variables. `READ @name` returns the value of one.
     values: HashMap<String, String>,
 }
 
+/// The statement that a prepared name stands for.
+#[derive(Clone, Debug)]
+struct StatementShape {
+    kind: String,
+    shape: String,
+}
+
 /// Serves a member until the future is dropped, which closes its connections.
 pub(super) async fn serve(listener: Arc<TcpListener>, index: usize, state: Arc<Mutex<SiteState>>) {
     let mut connections = JoinSet::new();
@@ -260,10 +354,13 @@
     index: usize,
     state: Arc<Mutex<SiteState>>,
 ) -> std::io::Result<()> {
-    let (input, mut output) = stream.into_split();
-    let mut lines = BufReader::new(input).lines();
+    let (input, output) = stream.into_split();
+    let output = Arc::new(AsyncMutex::new(output));
+    let mut messages = MessageReader::new(input);
     let mut connection = MemberConnection::default();
-    while let Some(line) = lines.next_line().await? {
+    // Dropped with the connection.
+    let mut repeats = JoinSet::new();
+    while let Some(line) = messages.next().await? {
         let mut fields = line.splitn(3, ' ');
         let (word, id, text) = (fields.next(), fields.next(), fields.next());
         let answer = match (word, id, text) {
@@ -285,7 +382,11 @@
         if is_write && !delay.is_zero() {
             sleep(delay).await;
         }
-        output.write_all(answer.as_bytes()).await?;
+        output.lock().await.write_all(answer.as_bytes()).await?;
+        let repeat = lock(&state).group.repeat.filter(|_| word == Some("QUERY"));
+        if let Some(delay) = repeat.and_then(|repeat| repeat.delay_of(&answer)) {
+            repeats.spawn(repeat_answer(output.clone(), answer.clone(), delay));
+        }
         if answer.starts_with("ERROR MOVED") {
             return Ok(());
         }
@@ -293,6 +394,13 @@
     Ok(())
 }
 
+/// Sends an answer again after `delay`.
+async fn repeat_answer(output: Arc<AsyncMutex<OwnedWriteHalf>>, answer: String, delay: Duration) {
+    sleep(delay).await;
+    // The proxy may have closed the connection.
+    let _sent = output.lock().await.write_all(answer.as_bytes()).await;
+}
+
 fn open_session(state: &Mutex<SiteState>, index: usize, group: &str, rest: Option<&str>) -> String {
     let site = lock(state);
     let member = &site.group.members[index];
@@ -310,6 +418,7 @@
         let state = if self.transaction.is_some() { "T" } else { "I" };
         let ready = format!("READY {state} {}\r\n", member.position());
         match result {
+            Ok(rows) if id == OWN_ID => format!("{rows}COMPLETE -\r\n{ready}"),
             Ok(rows) => format!("{rows}COMPLETE mac-{id}\r\n{ready}"),
             Err(code) => format!("ERROR {code} {}\r\n{ready}", member.id),
         }
@@ -322,22 +431,14 @@
         id: &str,
         text: &str,
     ) -> Result<String, &'static str> {
-        let text = match text.strip_prefix("SINCE ") {
-            Some(rest) => {
-                let (position, rest) = rest.split_once(' ').ok_or("MALFORMED")?;
-                if !group.members[index].contains_position(position) {
-                    return Err("LAGGING");
-                }
-                rest
-            }
-            None => text,
-        };
-        let resolved = self.resolve_prepared(text)?;
+        let text = group.admit(index, id, text)?;
+        let (shape, resolved) = self.resolve_prepared(text)?;
         let mut words = resolved.splitn(3, ' ');
         let word = words.next().unwrap_or("");
         let item = words.next().unwrap_or("").to_owned();
         let data = words.next().unwrap_or("").to_owned();
         let is_primary = group.members[index].is_primary;
+        group.members[index].record_statement(id, shape, &resolved);
         match word {
             "STATUS" => return Ok(status_row(&group.members[index])),
             "STEPDOWN" => {
@@ -388,23 +489,31 @@
         Ok(String::new())
     }
 
-    /// Stores the kind of a `PREPARE`, and replaces an `EXECUTE` by the
-    /// statement that it runs.
-    fn resolve_prepared(&mut self, text: &str) -> Result<String, &'static str> {
+    /// Stores the shape of a `PREPARE`, and replaces an `EXECUTE` by the kind and the
+    /// arguments of the statement that it runs. Also returns the shape of an `EXECUTE`.
+    fn resolve_prepared(&mut self, text: &str) -> Result<(Option<String>, String), &'static str> {
         if let Some(rest) = text.strip_prefix("PREPARE ") {
-            let (name, kind) = rest.split_once(' ').ok_or("MALFORMED")?;
-            let kind = kind.split(' ').next().unwrap_or("READ");
-            self.prepared.insert(name.to_owned(), kind.to_owned());
+            let mut fields = rest.splitn(3, ' ');
+            let (name, kind, shape) = (fields.next(), fields.next(), fields.next());
+            let (Some(name), Some(kind @ ("READ" | "WRITE")), Some(shape)) = (name, kind, shape)
+            else {
+                return Err("MALFORMED");
+            };
+            let shape = StatementShape {
+                kind: kind.to_owned(),
+                shape: shape.to_owned(),
+            };
+            self.prepared.insert(name.to_owned(), shape);
         }
         if text == "RESET" {
             self.prepared.clear();
         }
         let Some(rest) = text.strip_prefix("EXECUTE ") else {
-            return Ok(text.to_owned());
+            return Ok((None, text.to_owned()));
         };
         let (name, arguments) = rest.split_once(' ').ok_or("MALFORMED")?;
-        let kind = self.prepared.get(name).ok_or("NOSTMT")?;
-        Ok(format!("{kind} {arguments}"))
+        let StatementShape { kind, shape } = self.prepared.get(name).ok_or("NOSTMT")?;
+        Ok((Some(shape.clone()), format!("{kind} {arguments}")))
     }
 }
 
