--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
-use super::codec::StatementCodec;
+use super::codec::{MessageInput, StatementCodec};
 use crate::backend;
 use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
@@ -170,7 +170,7 @@
 pub(crate) struct MemberConnection<K> {
     origin: AnswerOrigin,
     stream: TcpStream,
-    input: BytesMut,
+    input: MessageInput,
     output: BytesMut,
     outstanding: u32,
     broken: bool,
@@ -205,7 +205,7 @@
                 ordinal: 0,
             },
             stream,
-            input: BytesMut::new(),
+            input: MessageInput::default(),
             output: BytesMut::new(),
             outstanding: 1,
             broken: false,
@@ -363,8 +363,7 @@
                 Ok(None) => {}
                 Err(error) => return Err(self.fail(ConnectionError::Protocol(error.to_string()))),
             }
-            self.input.reserve(READ_BYTES);
-            let received = self.stream.read_buf(&mut self.input);
+            let received = self.stream.read_buf(self.input.space(READ_BYTES));
             match timeout_at(deadline.into(), received).await {
                 Ok(Ok(0)) => {
                     let reason = "closed by the member".to_owned();
--- a/crates/transport/src/managed/session.rs
+++ b/crates/transport/src/managed/session.rs
@@ -26,7 +26,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::caller_identity::CallerIdentity;
-use super::codec::{CodecError, StatementCodec};
+use super::codec::{CodecError, MessageInput, StatementCodec};
 use super::context::{HostContext, ServicePhase, SessionGuard};
 use super::member_connection::MemberAnswer;
 use super::statement::{log_placed, StatementRunner};
@@ -57,7 +57,7 @@
     context: Arc<HostContext<K, C>>,
     phase: watch::Receiver<ServicePhase>,
     stream: TcpStream,
-    input: BytesMut,
+    input: MessageInput,
     output: BytesMut,
     database: String,
     identity: CallerIdentity,
@@ -75,7 +75,7 @@
             _guard: context.enter_session(),
             context,
             stream,
-            input: BytesMut::new(),
+            input: MessageInput::default(),
             output: BytesMut::new(),
             database: String::new(),
             identity: CallerIdentity::default(),
@@ -188,9 +188,9 @@
             let transaction_end = self.transaction_end();
             let in_transaction = self.transaction.is_some();
             let is_partial = !self.input.is_empty();
-            self.input.reserve(READ_BYTES);
+            let space = self.input.space(READ_BYTES);
             tokio::select! {
-                received = self.stream.read_buf(&mut self.input) => {
+                received = self.stream.read_buf(space) => {
                     if received? == 0 {
                         return Ok(Received::End);
                     }
