--- a/crates/state/tests/entry.rs
+++ b/crates/state/tests/entry.rs
@@ -82,6 +82,28 @@
     }
 }
 
+/// Guards against a host name that members would receive as several fields of a greeting,
+/// or as several messages.
+#[gtest]
+fn a_host_name_of_several_fields_is_rejected() {
+    for name in [
+        "two words",
+        "a\\nb",
+        "a\\r",
+        "a\\r\\nQUIT",
+        "a\\tb",
+        "a\\u007f",
+    ] {
+        let text = SETTINGS.replace("edge-na-a-1", name);
+        let report = match EntrySettings::parse(&text) {
+            Ok(settings) => panic!("{:?} is accepted", settings.host),
+            Err(problems) => problems[0].to_string(),
+        };
+        expect_that!(report, contains_substring("host"), "{name:?}");
+        expect_that!(report, contains_substring("control characters"), "{name:?}");
+    }
+}
+
 /// Guards against a reload that changes addresses in use, or that ignores values
 /// that can change at run time.
 #[gtest]
