--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -73,8 +73,11 @@
     /// Returns all problems at once.
     pub fn validate(&self) -> Result<()> {
         let mut list = ProblemList::default();
-        if self.host.is_empty() {
-            list.push("host", "an empty name", "the name of the host");
+        // Members receive the name as one field of a message.
+        let is_separator = |symbol: char| symbol.is_whitespace() || symbol.is_control();
+        if self.host.is_empty() || self.host.contains(is_separator) {
+            let allowed = "a name without blanks and control characters";
+            list.push("host", &format!("{:?}", self.host), allowed);
         }
         if !self.regions.contains_key(&self.data_centre) {
             let found = format!("{:?} without a region", self.data_centre);
