--- a/crates/transport/src/managed/hop/client.rs
+++ b/crates/transport/src/managed/hop/client.rs
@@ -40,6 +40,12 @@
 const REPLY_RESERVE: Duration = Duration::from_millis(20);
 /// Longest wait for the end of a transaction. The holder ends an idle one by itself.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
+/// Space of a frame for what is not text of a request: its numbers, the lengths of its
+/// fields and the header of the call, in bytes. By the sizes of their types they take less
+/// than 300 bytes.
+const REQUEST_OVERHEAD_BYTES: usize = 4 << 10;
+/// Space for the lengths of the name and the text of a session value, in bytes.
+const VALUE_OVERHEAD_BYTES: usize = 16;
 /// Calls in flight per RPC connection.
 pub(in crate::managed) const CALLS_MAX: usize = 4_096;
 
@@ -370,6 +376,12 @@
             return Err(ConnectionError::Protocol(reason));
         };
         let request = self.request(id, since, body);
+        if request_bytes(&request) > FRAME_LIMIT_BYTES {
+            // The frame would end the connection, which all forwarded statements share.
+            log::info!(request = id, bytes = request_bytes(&request); "request exceeds a frame");
+            let reason = HolderRefusal::NoConnection;
+            return Err(ConnectionError::NotForwarded(Some(reason)));
+        }
         self.is_asking = true;
         let hop = self.identity.hop.clone();
         let replied = match self.transaction.take() {
@@ -492,6 +504,27 @@
     }
 }
 
+/// Returns the largest size that a request has in a frame.
+fn request_bytes(request: &ForwardRequest) -> usize {
+    let values = request.values.iter();
+    let values = values.map(|(name, value)| name.len() + value.len() + VALUE_OVERHEAD_BYTES);
+    let body = match &request.body {
+        ForwardedBody::Text(text) => text.len(),
+        ForwardedBody::Commit => 0,
+        ForwardedBody::Execute { arguments } => arguments.len(),
+    };
+    let shape = request.shape.as_ref().map_or(0, |shape| shape.shape.len());
+    let names = [
+        &request.group,
+        &request.member,
+        &request.database,
+        &request.id,
+    ];
+    let names = names.iter().map(|name| name.len()).sum::<usize>();
+    let account = request.account.as_ref().map_or(0, String::len);
+    values.sum::<usize>() + body + shape + names + account + REQUEST_OVERHEAD_BYTES
+}
+
 fn member_error(kind: MemberFailureKind, detail: String) -> ConnectionError {
     match kind {
         MemberFailureKind::ConnectFailed => ConnectionError::Connect(detail),
