platform: test prepared statements of any shape on shared connections

The member's name of a prepared statement is made of its shape, which may contain blanks.

The stand-in's members take DEALLOC, count the prepared statements of a connection, and record a name that a connection uses for another statement.

--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -44,6 +44,10 @@
     pub ran: Vec<String>,
     /// The callers' statements that the member executed, in order.
     pub statements: Vec<RanStatement>,
+    /// Largest number of prepared statements that one connection had at the same time.
+    pub most_prepared: usize,
+    /// Names of prepared statements that a connection used again for another statement.
+    pub reused_names: Vec<String>,
 }
 
 /// A caller's statement as a member executed it.
@@ -99,6 +103,8 @@
     log: Vec<LogEntry>,
     ran: Vec<String>,
     statements: Vec<RanStatement>,
+    most_prepared: usize,
+    reused_names: Vec<String>,
 }
 
 impl MemberState {
@@ -118,6 +124,8 @@
             log: Vec::new(),
             ran: Vec::new(),
             statements: Vec::new(),
+            most_prepared: 0,
+            reused_names: Vec::new(),
         }
     }
 
@@ -148,6 +156,8 @@
             data: self.log.iter().map(|entry| entry.data.clone()).collect(),
             ran: self.ran.clone(),
             statements: self.statements.clone(),
+            most_prepared: self.most_prepared,
+            reused_names: self.reused_names.clone(),
         }
     }
 
@@ -310,12 +320,14 @@
     /// Writes of the open transaction; `None` outside of a transaction.
     transaction: Option<Vec<LogEntry>>,
     prepared: HashMap<String, StatementShape>,
+    /// The last statement of each name that the connection ever prepared.
+    named: HashMap<String, StatementShape>,
     /// Session variables. `READ @name` returns the value of one.
     values: HashMap<String, String>,
 }
 
 /// The statement that a prepared name stands for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct StatementShape {
     kind: String,
     shape: String,
@@ -482,13 +494,25 @@
             "SET" => {
                 self.values.insert(item, data);
             }
-            "PREPARE" => {}
+            "PREPARE" => self.record_prepared(&item, &mut group.members[index]),
+            "DEALLOC" => {
+                self.prepared.remove(&item).ok_or("NOSTMT")?;
+            }
             "RESET" => self.values.clear(),
             _ => return Err("MALFORMED"),
         }
         Ok(String::new())
     }
 
+    fn record_prepared(&mut self, name: &str, member: &mut MemberState) {
+        member.most_prepared = member.most_prepared.max(self.prepared.len());
+        let shape = &self.prepared[name];
+        let former = self.named.insert(name.to_owned(), shape.clone());
+        if former.is_some_and(|former| former != *shape) {
+            member.reused_names.push(name.to_owned());
+        }
+    }
+
     /// Stores the shape of a `PREPARE`, and replaces an `EXECUTE` by the kind and the
     /// arguments of the statement that it runs. Also returns the shape of an `EXECUTE`.
     fn resolve_prepared(&mut self, text: &str) -> Result<(Option<String>, String), &'static str> {
