transport: give prepared statements numbered names at members

The name at the member was the letter of the access and the shape. A shape is free text, so a blank in it ended the name, and the rest was read as other fields of PREPARE and EXECUTE. Evidence: the member of review-cases ran "EXECUTE[WRITE or READ WRITE q2c WRITE or READ] WRITE or READ item2 data2" for "EXECUTE s1 item2 data2"; no line feed was sent.

A connection now numbers its names. It never uses a number again, also after RESET or a refused PREPARE, and uses a name only after the member acknowledged PREPARE. Statements of callers name the shape (`MemberRequest`); only `MemberConnection` knows names, at the holder as well as for direct statements. Nothing of a caller's text is in a name, so that no text can end one or equal another. A statement that the member does not know is forgotten, so that it is prepared again. A holder does not run a forwarded prepared statement without its shape.

--- a/crates/protocol/src/statement.rs
+++ b/crates/protocol/src/statement.rs
@@ -155,6 +155,11 @@
         /// Statement that is prepared.
         shape: &'a PreparedShape,
     },
+    /// Removes a prepared statement.
+    Deallocate {
+        /// The proxy's name of the prepared statement.
+        name: &'a str,
+    },
     /// Removes all session values and prepared statements of the connection.
     Reset,
     /// Requests the member's status.
--- a/crates/transport/src/managed.rs
+++ b/crates/transport/src/managed.rs
@@ -20,6 +20,7 @@
 mod member_pools;
 mod metrics;
 mod plan_follower;
+mod prepared_names;
 mod presence_follower;
 mod relay;
 pub mod runtime;
--- a/crates/transport/src/managed/hop.rs
+++ b/crates/transport/src/managed/hop.rs
@@ -17,6 +17,7 @@
     ConnectionError, ConnectionIdentity, ConnectionOwner, ConnectionSetup, MemberAnswer,
     MemberConnection, Result,
 };
+use super::statement_request::MemberRequest;
 use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
 /// What opening a link to a member needs.
@@ -70,7 +71,19 @@
         }
     }
 
-    /// Sends a statement and waits for its answer.
+    /// Sends a caller's statement and waits for its answer.
+    pub(super) async fn run(
+        &mut self,
+        request: &MemberRequest<'_>,
+        deadline: Instant,
+    ) -> Result<MemberAnswer> {
+        match self {
+            Self::Direct(connection) => connection.run(request, deadline).await,
+            Self::Relayed(connection) => connection.run(request, deadline).await,
+        }
+    }
+
+    /// Sends a statement of this host and waits for its answer.
     pub(crate) async fn ask(
         &mut self,
         statement: &MemberStatement<'_>,
@@ -78,7 +91,10 @@
     ) -> Result<MemberAnswer> {
         match self {
             Self::Direct(connection) => connection.ask(statement, deadline).await,
-            Self::Relayed(connection) => connection.ask(statement, deadline).await,
+            Self::Relayed(_) => {
+                let reason = "only callers' statements are forwarded".to_owned();
+                Err(ConnectionError::Protocol(reason))
+            }
         }
     }
 }
--- a/crates/transport/src/managed/hop/client.rs
+++ b/crates/transport/src/managed/hop/client.rs
@@ -14,11 +14,8 @@
     TransactionEnd, FORWARD_VERSION,
 };
 use protocol::relay::RelayServiceClient;
-use protocol::statement::{
-    ForwardBody, MemberRefusal, MemberStatement, PreparedShape, TransactionState,
-};
+use protocol::statement::{MemberRefusal, MemberStatement, TransactionState};
 use state::entry::EntrySettings;
-use state::log::LogPosition;
 use state::reading::LiveHost;
 use tarpc::client::{self, NewClient, RpcError};
 use tarpc::context::{self, Context};
@@ -30,6 +27,7 @@
 };
 use crate::managed::metrics::ForwardMetrics;
 use crate::managed::relay::FRAME_LIMIT_BYTES;
+use crate::managed::statement_request::{MemberRequest, StatementBody};
 use crate::pool::ReleaseState;
 use crate::rpc::{frame_stream, ControlMeter, RpcChannel, RpcConnection, RpcOptions};
 
@@ -313,7 +311,6 @@
 #[derive(Clone, Debug, Default)]
 struct KeptSetup {
     values: BTreeMap<String, String>,
-    shape: Option<PreparedShape>,
     begin: Option<ForwardBegin>,
     database: String,
     priority: u8,
@@ -355,7 +352,6 @@
         if kept.values != *setup.values {
             kept.values.clone_from(setup.values);
         }
-        kept.shape = setup.shape.cloned();
         kept.begin = setup.begin.and_then(|begin| match begin {
             MemberStatement::Begin { read_only, since } => Some(ForwardBegin { read_only, since }),
             _ => None,
@@ -366,18 +362,15 @@
     }
 
     /// Sends a caller's statement to a holder and waits for its reply.
-    pub(super) async fn ask(
+    pub(super) async fn run(
         &mut self,
-        statement: &MemberStatement<'_>,
+        request: &MemberRequest<'_>,
         deadline: Instant,
     ) -> Result<MemberAnswer> {
-        let MemberStatement::Forward { id, since, body } = *statement else {
-            let reason = "only callers' statements are forwarded".to_owned();
-            return Err(ConnectionError::Protocol(reason));
-        };
-        let request = self.request(id, since, body);
+        let request = self.request(request);
         if request_bytes(&request) > FRAME_LIMIT_BYTES {
             // The frame would end the connection, which all forwarded statements share.
+            let id = request.id.as_str();
             log::info!(request = id, bytes = request_bytes(&request); "request exceeds a frame");
             let reason = HolderRefusal::NoConnection;
             return Err(ConnectionError::NotForwarded(Some(reason)));
@@ -406,12 +399,7 @@
         answer
     }
 
-    fn request(
-        &self,
-        id: &str,
-        since: Option<LogPosition>,
-        body: ForwardBody<'_>,
-    ) -> ForwardRequest {
+    fn request(&self, request: &MemberRequest<'_>) -> ForwardRequest {
         let setup = &self.setup;
         let transaction = self.transaction.as_ref().map(|(_, key)| *key);
         ForwardRequest {
@@ -426,15 +414,15 @@
                 .map(|target| target.saturating_duration_since(Instant::now())),
             remaining: Duration::ZERO,
             values: setup.values.clone(),
-            shape: setup.shape.clone(),
+            shape: request.body.shape().cloned(),
             begin: setup.begin.filter(|_| transaction.is_none()),
             transaction,
-            id: id.to_owned(),
-            since,
-            body: match body {
-                ForwardBody::Text(text) => ForwardedBody::Text(text.to_owned()),
-                ForwardBody::Commit => ForwardedBody::Commit,
-                ForwardBody::Execute { arguments, .. } => ForwardedBody::Execute {
+            id: request.id.to_owned(),
+            since: request.since,
+            body: match request.body {
+                StatementBody::Text(text) => ForwardedBody::Text(text.to_owned()),
+                StatementBody::Commit => ForwardedBody::Commit,
+                StatementBody::Execute { arguments, .. } => ForwardedBody::Execute {
                     arguments: arguments.to_owned(),
                 },
             },
--- a/crates/transport/src/managed/hop/server.rs
+++ b/crates/transport/src/managed/hop/server.rs
@@ -8,7 +8,7 @@
     ForwardReply, ForwardRequest, ForwardedBody, HolderRefusal, MemberFailureKind, TransactionEnd,
     FORWARD_VERSION,
 };
-use protocol::statement::{ForwardBody, MemberStatement, TransactionState};
+use protocol::statement::{MemberStatement, TransactionState};
 use slotmap::{Key, KeyData, SlotMap};
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -18,8 +18,9 @@
 use crate::managed::codec::StatementCodec;
 use crate::managed::context::{ForwardedGuard, HostContext, ServicePhase};
 use crate::managed::group_runtime::{GroupRuntime, SendInstant};
-use crate::managed::member_connection::{ConnectionError, ConnectionSetup, MemberConnection};
+use crate::managed::member_connection::{ConnectionError, ConnectionSetup};
 use crate::managed::statement::{MemberCount, MemberCounter, SETUP_TIMEOUT};
+use crate::managed::statement_request::{MemberRequest, StatementBody};
 use crate::pool::{PoolError, PooledConnection};
 
 /// Open transactions per RPC connection.
@@ -210,6 +211,8 @@
     ) -> ReplyResult<ForwardReply> {
         let (group, member) = (held.group.clone(), held.member);
         let _in_flight = MemberCount::enter(&group, member, MemberCounter::InFlight);
+        // A request of a prepared statement without its shape is not understood.
+        let body = body_of(request).ok_or_else(|| not_run(HolderRefusal::Version))?;
         let link = &mut held.connection;
         let prepared_at = group.send_instant();
         match link.prepare(&setup_of(request), setup_end).await {
@@ -217,23 +220,14 @@
             Ok(Some(refusal)) => return Err(ForwardReply::SetupRefused(refusal)),
             Err(error) => return Err(member_failed(&group, member, &error, prepared_at, false)),
         }
-        let name = request.shape.as_ref();
-        let name = name.map(MemberConnection::<K>::prepared_name);
-        let statement = MemberStatement::Forward {
+        let statement = MemberRequest {
             id: &request.id,
             since: request.since,
-            body: match &request.body {
-                ForwardedBody::Text(text) => ForwardBody::Text(text),
-                ForwardedBody::Commit => ForwardBody::Commit,
-                ForwardedBody::Execute { arguments } => ForwardBody::Execute {
-                    name: name.as_deref().unwrap_or_default(),
-                    arguments,
-                },
-            },
+            body,
         };
         let sent_at = group.send_instant();
         let answer = link
-            .ask(&statement, deadline)
+            .run(&statement, deadline)
             .await
             .map_err(|error| member_failed(&group, member, &error, sent_at, true))?;
         group.record_answer(member, &answer, sent_at.boot_time);
@@ -308,6 +302,18 @@
     }
 }
 
+/// Returns the statement; `None` if the request lacks the shape of a prepared statement.
+fn body_of(request: &ForwardRequest) -> Option<StatementBody<'_>> {
+    Some(match &request.body {
+        ForwardedBody::Text(text) => StatementBody::Text(text),
+        ForwardedBody::Commit => StatementBody::Commit,
+        ForwardedBody::Execute { arguments } => StatementBody::Execute {
+            shape: request.shape.as_ref()?,
+            arguments,
+        },
+    })
+}
+
 fn not_run(reason: HolderRefusal) -> ForwardReply {
     ForwardReply::NotRun { reason }
 }
--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a member of a managed group.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use protocol::forward::HolderRefusal;
 use protocol::statement::{
-    MemberMessage, MemberRefusal, MemberStatement, PreparedShape, StatementAccess, TransactionState,
+    ForwardBody, MemberMessage, MemberRefusal, MemberStatement, PreparedShape, TransactionState,
 };
 use state::log::LogPosition;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,6 +19,8 @@
 use tokio::time::timeout_at;
 
 use super::codec::{MessageInput, StatementCodec};
+use super::prepared_names::PreparedNames;
+use super::statement_request::{MemberRequest, StatementBody};
 use crate::backend;
 use crate::pool::{IdleState, ReleaseState, ServerConnection};
 
@@ -177,7 +179,7 @@
     state: TransactionState,
     received_at: Instant,
     values: BTreeMap<String, String>,
-    prepared: HashSet<PreparedShape>,
+    prepared: PreparedNames,
     codec: PhantomData<K>,
 }
 
@@ -212,7 +214,7 @@
             state: TransactionState::Idle,
             received_at: Instant::now(),
             values: BTreeMap::new(),
-            prepared: HashSet::new(),
+            prepared: PreparedNames::default(),
             codec: PhantomData,
         };
         let ConnectionIdentity {
@@ -247,15 +249,6 @@
         self.state
     }
 
-    /// Returns the name that a prepared statement has at the member.
-    pub(crate) fn prepared_name(shape: &PreparedShape) -> String {
-        let kind = match shape.access {
-            StatementAccess::Read => 'r',
-            StatementAccess::Write => 'w',
-        };
-        format!("{kind}{}", shape.shape)
-    }
-
     /// Returns whether the session's values can be set without a reset. A reset removes
     /// the values of other sessions, and with them all prepared statements.
     pub(crate) fn can_apply(&self, setup: &ConnectionSetup<'_>) -> bool {
@@ -280,10 +273,14 @@
                 self.values.insert(name.clone(), value.clone());
             }
         }
-        if let Some(shape) = setup.shape.filter(|shape| !self.prepared.contains(*shape)) {
-            let name = Self::prepared_name(shape);
+        let mut assigned = None;
+        if let Some(shape) = setup.shape.filter(|shape| !self.prepared.contains(shape)) {
+            for name in self.prepared.make_room(shape) {
+                self.enqueue(&MemberStatement::Deallocate { name: &name });
+            }
+            let name = self.prepared.assign();
             self.enqueue(&MemberStatement::Prepare { name: &name, shape });
-            self.prepared.insert(shape.clone());
+            assigned = Some((shape, name));
         }
         if let Some(begin) = &setup.begin {
             self.enqueue(begin);
@@ -295,16 +292,60 @@
         let mut refused = None;
         while self.outstanding > 0 {
             let is_begin = setup.begin.is_some() && self.outstanding == 1;
-            if let Err((refusal, _)) = self.answer(deadline).await?.outcome {
-                refused.get_or_insert(refusal);
-                // The state of the session at the member is no longer known.
-                self.broken |= !is_begin;
+            // Only the statement that begins a transaction follows PREPARE.
+            let is_prepare = self.outstanding == 1 + u32::from(setup.begin.is_some());
+            let outcome = self.answer(deadline).await?.outcome;
+            let prepared = assigned.take_if(|_| is_prepare);
+            match outcome {
+                Ok(_) => {
+                    if let Some((shape, name)) = prepared {
+                        self.prepared.insert(shape, name);
+                    }
+                }
+                Err((refusal, _)) => {
+                    refused.get_or_insert(refusal);
+                    // The state of the session at the member is no longer known.
+                    self.broken |= !is_begin;
+                }
             }
         }
         Ok(refused)
     }
 
-    /// Sends a statement and waits for its answer.
+    /// Sends a caller's statement and waits for its answer. A prepared statement that the
+    /// member did not acknowledge on this connection is not sent.
+    pub(super) async fn run(
+        &mut self,
+        request: &MemberRequest<'_>,
+        deadline: Instant,
+    ) -> Result<MemberAnswer> {
+        let body = match request.body {
+            StatementBody::Text(text) => ForwardBody::Text(text),
+            StatementBody::Commit => ForwardBody::Commit,
+            StatementBody::Execute { shape, arguments } => {
+                let unknown = ConnectionError::SetupRefused(MemberRefusal::UnknownStatement);
+                let name = self.prepared.use_name(shape).ok_or(unknown)?;
+                ForwardBody::Execute { name, arguments }
+            }
+        };
+        let statement = MemberStatement::Forward {
+            id: request.id,
+            since: request.since,
+            body,
+        };
+        K::put_statement(&mut self.output, &statement);
+        self.outstanding += 1;
+        self.send(deadline).await?;
+        let answer = self.answer(deadline).await?;
+        if let (Some(shape), Err((MemberRefusal::UnknownStatement, _))) =
+            (request.body.shape(), &answer.outcome)
+        {
+            self.prepared.remove(shape);
+        }
+        Ok(answer)
+    }
+
+    /// Sends a statement of this host and waits for its answer.
     pub(crate) async fn ask(
         &mut self,
         statement: &MemberStatement<'_>,
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -14,7 +14,7 @@
 use coordination::retry::{ErrorClass, FailedAttempt, RetryDecision, RetryKind, SendProgress};
 use protocol::forward::HolderRefusal;
 use protocol::result_code::ResultCode;
-use protocol::statement::{ForwardBody, MemberRefusal, MemberStatement};
+use protocol::statement::{MemberRefusal, MemberStatement};
 use state::account::ClientAccount;
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -25,9 +25,9 @@
 use super::context::HostContext;
 use super::group_runtime::{ConnectionPool, GroupRuntime, SendInstant};
 use super::hop::MemberLink;
-use super::member_connection::{ConnectionError, ConnectionSetup, MemberAnswer, MemberConnection};
+use super::member_connection::{ConnectionError, ConnectionSetup, MemberAnswer};
 use super::statement_request::{
-    PlacedAnswer, Result, StatementBody, StatementFailure, StatementRequest,
+    MemberRequest, PlacedAnswer, Result, StatementBody, StatementFailure, StatementRequest,
 };
 use crate::pool::{PoolError, PooledConnection};
 
@@ -696,17 +696,8 @@
     body: StatementBody<'_>,
     deadline: Instant,
 ) -> super::member_connection::Result<MemberAnswer> {
-    let name = body.shape().map(MemberConnection::<K>::prepared_name);
-    let body = match body {
-        StatementBody::Text(text) => ForwardBody::Text(text),
-        StatementBody::Commit => ForwardBody::Commit,
-        StatementBody::Execute { arguments, .. } => ForwardBody::Execute {
-            name: name.as_deref().unwrap_or_default(),
-            arguments,
-        },
-    };
-    let statement = MemberStatement::Forward { id, since, body };
-    connection.ask(&statement, deadline).await
+    let request = MemberRequest { id, since, body };
+    connection.run(&request, deadline).await
 }
 
 /// Logs which member answered a statement, and where the answer was read.
--- a/crates/transport/src/managed/statement_request.rs
+++ b/crates/transport/src/managed/statement_request.rs
@@ -76,6 +76,16 @@
     }
 }
 
+/// A statement of a caller for a chosen member. A prepared statement is named by its
+/// shape; each connection has its own names for shapes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MemberRequest<'a> {
+    pub(super) id: &'a str,
+    /// Position that the member's log must contain, if any.
+    pub(super) since: Option<LogPosition>,
+    pub(super) body: StatementBody<'a>,
+}
+
 /// The transaction that a statement begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct TransactionStart {
