--- a/crates/transport/src/managed/prepared_names.rs
+++ b/crates/transport/src/managed/prepared_names.rs
@@ -4,11 +4,11 @@
 
 use protocol::statement::PreparedShape;
 
-/// Prepared statements that one connection keeps. A chosen figure: more than the callers
-/// of a database use at a time, and few enough to look for the least recently used one.
+/// Prepared statements that one connection keeps. It bounds the memory of host and member
+/// and the search for the least recently used statement.
 const NAMES_MAX: usize = 256;
-/// Length in bytes of the shapes that one connection keeps. A chosen figure: four of the
-/// longest messages of 1 MiB, because the host and the member hold each shape in memory.
+/// Length in bytes of the shapes that one connection keeps: four messages of the longest
+/// kind, 1 MiB. The host and the member hold each shape in memory.
 const SHAPES_MAX_BYTES: usize = 4 << 20;
 
 /// The prepared statements that a member acknowledged on a connection, and their names.
