--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -366,6 +366,7 @@
     index: usize,
     state: Arc<Mutex<SiteState>>,
 ) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
     let (input, output) = stream.into_split();
     let output = Arc::new(AsyncMutex::new(output));
     let mut messages = MessageReader::new(input);
