--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -239,6 +239,14 @@
         self.lock().group.busy_left = count;
     }
 
+    /// Promotes a member without a call of the store, as another host does that the store
+    /// serves.
+    pub fn promote(&self, index: usize) {
+        let mut site = self.lock();
+        let id = site.group.members[index].id.clone();
+        site.group.promote(&id);
+    }
+
     /// Returns the newest revision of the store.
     pub fn store_version(&self) -> u64 {
         self.lock().store.version()
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -48,6 +48,8 @@
     pub most_prepared: usize,
     /// Names of prepared statements that a connection used again for another statement.
     pub reused_names: Vec<String>,
+    /// The rows of the callers' statements that succeeded, by id and in order.
+    pub rows: Vec<(String, String)>,
 }
 
 /// A caller's statement as a member executed it.
@@ -70,14 +72,32 @@
     All(Duration),
     /// Refusals only, the second time this long after the first.
     Refusals(Duration),
+    /// Every answer, the second time when the next statement has arrived and before its
+    /// answer.
+    AllBeforeNext,
+    /// Refusals only, the second time as for `AllBeforeNext`.
+    RefusalsBeforeNext,
+    /// Answers to status questions, the second time as for `AllBeforeNext`.
+    StatusBeforeNext,
+}
+
+/// When an answer is sent the second time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RepeatTime {
+    After(Duration),
+    BeforeNext,
 }
 
 impl AnswerRepeat {
-    /// Returns when an answer is sent again, counted from the first time.
-    fn delay_of(self, answer: &str) -> Option<Duration> {
+    /// Returns when the answer to a statement is sent again.
+    fn time_of(self, text: &str, answer: &str) -> Option<RepeatTime> {
+        let is_refusal = answer.starts_with("ERROR");
         match self {
-            Self::All(delay) => Some(delay),
-            Self::Refusals(delay) => answer.starts_with("ERROR").then_some(delay),
+            Self::All(delay) => Some(RepeatTime::After(delay)),
+            Self::Refusals(delay) => is_refusal.then_some(RepeatTime::After(delay)),
+            Self::AllBeforeNext => Some(RepeatTime::BeforeNext),
+            Self::RefusalsBeforeNext => is_refusal.then_some(RepeatTime::BeforeNext),
+            Self::StatusBeforeNext => (text == "STATUS").then_some(RepeatTime::BeforeNext),
         }
     }
 }
@@ -105,6 +125,7 @@
     statements: Vec<RanStatement>,
     most_prepared: usize,
     reused_names: Vec<String>,
+    rows: Vec<(String, String)>,
 }
 
 impl MemberState {
@@ -126,6 +147,7 @@
             statements: Vec::new(),
             most_prepared: 0,
             reused_names: Vec::new(),
+            rows: Vec::new(),
         }
     }
 
@@ -158,6 +180,7 @@
             statements: self.statements.clone(),
             most_prepared: self.most_prepared,
             reused_names: self.reused_names.clone(),
+            rows: self.rows.clone(),
         }
     }
 
@@ -373,7 +396,11 @@
     let mut connection = MemberConnection::default();
     // Dropped with the connection.
     let mut repeats = JoinSet::new();
+    let mut held: Option<String> = None;
     while let Some(line) = messages.next().await? {
+        if let Some(second) = held.take() {
+            output.lock().await.write_all(second.as_bytes()).await?;
+        }
         let mut fields = line.splitn(3, ' ');
         let (word, id, text) = (fields.next(), fields.next(), fields.next());
         let answer = match (word, id, text) {
@@ -397,8 +424,12 @@
         }
         output.lock().await.write_all(answer.as_bytes()).await?;
         let repeat = lock(&state).group.repeat.filter(|_| word == Some("QUERY"));
-        if let Some(delay) = repeat.and_then(|repeat| repeat.delay_of(&answer)) {
-            repeats.spawn(repeat_answer(output.clone(), answer.clone(), delay));
+        match repeat.and_then(|repeat| repeat.time_of(text.unwrap_or(""), &answer)) {
+            Some(RepeatTime::After(delay)) => {
+                repeats.spawn(repeat_answer(output.clone(), answer.clone(), delay));
+            }
+            Some(RepeatTime::BeforeNext) => held = Some(answer.clone()),
+            None => {}
         }
         if answer.starts_with("ERROR MOVED") {
             return Ok(());
@@ -427,6 +458,10 @@
 impl MemberConnection {
     fn run(&mut self, group: &mut GroupState, index: usize, id: &str, text: &str) -> String {
         let result = self.execute(group, index, id, text);
+        if let Some(rows) = result.as_ref().ok().filter(|_| id != OWN_ID) {
+            let rows = (id.to_owned(), rows.trim_end_matches("\r\n").to_owned());
+            group.members[index].rows.push(rows);
+        }
         let member = &group.members[index];
         let state = if self.transaction.is_some() { "T" } else { "I" };
         let ready = format!("READY {state} {}\r\n", member.position());
