--- a/crates/protocol/src/forward.rs
+++ b/crates/protocol/src/forward.rs
@@ -127,6 +127,8 @@
     TimedOut,
     /// The member's bytes violate the protocol.
     Protocol,
+    /// An answer may belong to another statement, which is not a failure of the member.
+    Mismatched,
 }
 
 /// A holder's answer to a forwarded statement.
--- a/crates/protocol/src/statement.rs
+++ b/crates/protocol/src/statement.rs
@@ -172,7 +172,7 @@
 }
 
 /// Part of a caller's statement that is forwarded to a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ForwardBody<'a> {
     /// The caller's text.
     Text(&'a str),
@@ -254,8 +254,8 @@
     Row(Bytes),
     /// The statement succeeded.
     Complete {
-        /// The member's signature of the statement; empty if the statement has none.
-        signature: Bytes,
+        /// The member's signature of the statement, if it has one.
+        signature: Option<Bytes>,
     },
     /// The statement did not succeed.
     Refused {
--- a/crates/transport/src/managed.rs
+++ b/crates/transport/src/managed.rs
@@ -8,6 +8,7 @@
 
 mod acceptor;
 mod account_limits;
+mod answer_record;
 mod caller_identity;
 mod change_driver;
 pub mod codec;
--- /dev/null
+++ b/crates/transport/src/managed/answer_record.rs
@@ -0,0 +1,173 @@
+//! Which statement an answer of a member belongs to.
+//!
+//! An answer names no statement, and a member may send one a second time at any later
+//! time. Only a signature identifies a caller's statement.
+
+use std::collections::hash_map::{Entry, RandomState};
+use std::collections::{HashMap, HashSet};
+use std::hash::BuildHasher;
+
+use bytes::Bytes;
+use protocol::statement::{MemberStatement, TransactionState};
+use state::log::LogPosition;
+
+/// Result of comparing an answer with its statement. The error says why the answer cannot
+/// be attributed to the statement.
+pub(super) type Result<T> = std::result::Result<T, &'static str>;
+
+/// What the answer to a statement must be like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AwaitedAnswer {
+    /// The answer to a statement of a caller, with the hashes of its id and its body.
+    Signed {
+        id: u64,
+        body: u64,
+        /// Whether the statement ends the transaction.
+        is_end: bool,
+    },
+    /// The answer to a statement of this host. The state is the one after a success;
+    /// `None` if the statement does not change it.
+    Own { state: Option<TransactionState> },
+    /// The row that answers a status question or a step-down.
+    Status,
+}
+
+/// A complete answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReceivedAnswer<'a> {
+    pub(super) rows: &'a [Bytes],
+    /// The signature of a success, if it has one; `None` for a refusal.
+    pub(super) success: Option<Option<&'a Bytes>>,
+    pub(super) state: TransactionState,
+    pub(super) position: Option<LogPosition>,
+}
+
+/// The answers that a connection has delivered.
+///
+/// # Invariants
+///
+/// `signatures` holds the statement of every signature that was delivered, and `own` every
+/// answer without one. `is_aligned` is set while no answer was delivered that may have
+/// been a second one of an earlier statement.
+#[derive(Debug)]
+pub(super) struct AnswerRecord {
+    hasher: RandomState,
+    signatures: HashMap<u64, (u64, u64)>,
+    own: HashSet<u64>,
+    has_refusal: bool,
+    is_aligned: bool,
+}
+
+impl AnswerRecord {
+    pub(super) fn new() -> Self {
+        Self {
+            hasher: RandomState::new(),
+            signatures: HashMap::new(),
+            own: HashSet::new(),
+            has_refusal: false,
+            is_aligned: true,
+        }
+    }
+
+    /// Returns what the answer to a statement must be like.
+    pub(super) fn expect(&self, statement: &MemberStatement<'_>) -> AwaitedAnswer {
+        match statement {
+            MemberStatement::Forward { id, body, .. } => AwaitedAnswer::Signed {
+                id: self.hasher.hash_one(id),
+                body: self.hasher.hash_one(body),
+                is_end: *body == protocol::statement::ForwardBody::Commit,
+            },
+            MemberStatement::Begin { .. } => AwaitedAnswer::Own {
+                state: Some(TransactionState::Open),
+            },
+            MemberStatement::Rollback => AwaitedAnswer::Own {
+                state: Some(TransactionState::Idle),
+            },
+            MemberStatement::Set { .. }
+            | MemberStatement::Prepare { .. }
+            | MemberStatement::Deallocate { .. }
+            | MemberStatement::Reset => AwaitedAnswer::Own { state: None },
+            MemberStatement::Status | MemberStatement::StepDown { .. } => AwaitedAnswer::Status,
+        }
+    }
+
+    /// Returns whether a refusal was delivered. The second answer to it could not be
+    /// told from the refusal of another statement.
+    pub(super) fn has_refusal(&self) -> bool {
+        self.has_refusal
+    }
+
+    /// Compares an answer with the statement that waits for it, and records it. `before`
+    /// is the state of the connection before the answer. Returns whether the answer is
+    /// certainly no second one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer may belong to an earlier statement.
+    pub(super) fn admit(
+        &mut self,
+        awaited: AwaitedAnswer,
+        answer: &ReceivedAnswer<'_>,
+        before: TransactionState,
+    ) -> Result<bool> {
+        let Some(signature) = answer.success else {
+            return self.admit_refusal(awaited).map(|()| true);
+        };
+        let state = match awaited {
+            AwaitedAnswer::Signed { is_end: true, .. } => TransactionState::Idle,
+            AwaitedAnswer::Own { state: Some(state) } => state,
+            _ => before,
+        };
+        if answer.state != state {
+            return Err("a success that leads to another transaction state");
+        }
+        match (awaited, signature) {
+            (AwaitedAnswer::Signed { id, body, .. }, Some(signature)) => {
+                self.admit_signature(signature, id, body).map(|()| true)
+            }
+            (AwaitedAnswer::Signed { .. }, None) => Err("a success without a signature"),
+            (_, Some(_)) => Err("a signature for a statement of this host"),
+            (_, None) => self.admit_own(awaited, answer),
+        }
+    }
+
+    fn admit_refusal(&mut self, awaited: AwaitedAnswer) -> Result<()> {
+        if self.has_refusal {
+            return Err("a second refusal on the connection");
+        }
+        // A refusal of a statement of this host is no statement about one of a caller.
+        if !self.is_aligned && matches!(awaited, AwaitedAnswer::Signed { .. }) {
+            return Err("a refusal that may belong to an earlier statement");
+        }
+        self.has_refusal = true;
+        Ok(())
+    }
+
+    fn admit_signature(&mut self, signature: &Bytes, id: u64, body: u64) -> Result<()> {
+        match self.signatures.entry(self.hasher.hash_one(signature)) {
+            Entry::Vacant(entry) => {
+                entry.insert((id, body));
+            }
+            // The same statement may run twice, but its first run may also have been
+            // answered twice.
+            Entry::Occupied(entry) if entry.get().0 != id || entry.get().1 == body => {
+                return Err("a signature that was delivered before");
+            }
+            Entry::Occupied(_) => {}
+        }
+        self.is_aligned = true;
+        Ok(())
+    }
+
+    /// Admits a success without a signature. One that differs from all former ones is
+    /// certainly no second answer.
+    fn admit_own(&mut self, awaited: AwaitedAnswer, answer: &ReceivedAnswer<'_>) -> Result<bool> {
+        if awaited != AwaitedAnswer::Status && !answer.rows.is_empty() {
+            return Err("rows for a statement without rows");
+        }
+        let content = (answer.rows, answer.state as u8, answer.position);
+        let is_first = self.own.insert(self.hasher.hash_one(content));
+        self.is_aligned &= is_first;
+        Ok(is_first)
+    }
+}
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -351,6 +351,7 @@
                 ConnectionError::NotForwarded(_)
                 | ConnectionError::SetupRefused(_)
                 | ConnectionError::BeforeStatement(_)
+                | ConnectionError::Mismatched(_)
                 | ConnectionError::ReplyLost(_) => {}
             }
             let member = group.members.get(key);
@@ -408,7 +409,10 @@
         }
     }
 
-    /// Asks a member for its status.
+    /// Asks a member for its status. An answer that equals an earlier one of its connection
+    /// may be the second answer to an earlier question; the question is then repeated on
+    /// another connection, unless the member takes none. The rows of a member in use
+    /// differ, so that this is rare there.
     pub(crate) async fn ask_status(
         &self,
         key: MemberKey,
@@ -438,9 +442,23 @@
         let sent_at = self.send_instant();
         let deadline = sent_at.socket_time + max_wait;
         let mut connection = self.status_connection(key, deadline).await?;
-        let asked_at = self.clock.now();
-        let answer = match connection.ask(statement, deadline).await {
+        let mut asked_at = self.clock.now();
+        let mut asked = connection.ask(statement, deadline).await;
+        let is_certain = asked
+            .as_ref()
+            .map_or_else(|error| !error.is_mismatch(), |answer| answer.is_first);
+        if !is_certain {
+            // A second answer to an earlier question would assure a primary for a time at
+            // which another one may lead. A connection without earlier answers has none.
+            drop(connection);
+            if let Some(mut unused) = self.unused_status_connection(key, deadline).await {
+                asked_at = self.clock.now();
+                asked = unused.ask(statement, deadline).await;
+            }
+        }
+        let answer = match asked {
             Ok(answer) => answer,
+            Err(error) if error.is_mismatch() => return Err(AskError::NoConnection),
             Err(error) => {
                 self.record_failure(key, &error, sent_at);
                 return Err(AskError::Failed);
@@ -497,6 +515,23 @@
         Err(AskError::NoConnection)
     }
 
+    /// Returns a connection for a status question that has not answered anything yet;
+    /// `None` if the member takes no other connection.
+    async fn unused_status_connection(
+        &self,
+        key: MemberKey,
+        deadline: Instant,
+    ) -> Option<PooledConnection<MemberLink<K>>> {
+        let status = self.with_pools(key, |pools| pools.status.clone())?;
+        loop {
+            let connection = status.check_out_below_limit(&None, deadline).await.ok()?;
+            if !connection.has_answered() {
+                return Some(connection);
+            }
+            connection.close();
+        }
+    }
+
     /// Records whether a member reports that it is the primary.
     pub(crate) fn observe_role(&self, key: MemberKey, leads: bool) {
         self.with(|group| {
--- a/crates/transport/src/managed/hop.rs
+++ b/crates/transport/src/managed/hop.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns whether an answer to an earlier statement may still come a second time.
+    pub(crate) fn has_answered(&self) -> bool {
+        match self {
+            Self::Direct(connection) => connection.has_answered(),
+            Self::Relayed(_) => false,
+        }
+    }
+
     /// Returns whether the session's values can be set without a reset.
     pub(crate) fn can_apply(&self, setup: &ConnectionSetup<'_>) -> bool {
         match self {
@@ -152,6 +160,13 @@
         }
     }
 
+    fn is_mismatched(&self) -> bool {
+        match self {
+            Self::Direct(connection) => connection.is_mismatched(),
+            Self::Relayed(_) => false,
+        }
+    }
+
     async fn reset(&mut self) -> bool {
         match self {
             Self::Direct(connection) => connection.reset().await,
--- a/crates/transport/src/managed/hop/client.rs
+++ b/crates/transport/src/managed/hop/client.rs
@@ -445,6 +445,7 @@
                     rows: rows.into_iter().map(Bytes::from).collect(),
                     outcome: outcome.map(Bytes::from),
                     position,
+                    is_first: true,
                 })
             }
             ForwardReply::SetupRefused(refusal) => Err(ConnectionError::SetupRefused(refusal)),
@@ -521,6 +522,7 @@
         MemberFailureKind::Lost => ConnectionError::Lost(detail),
         MemberFailureKind::TimedOut => ConnectionError::TimedOut,
         MemberFailureKind::Protocol => ConnectionError::Protocol(detail),
+        MemberFailureKind::Mismatched => ConnectionError::Mismatched(detail),
     }
 }
 
--- a/crates/transport/src/managed/hop/server.rs
+++ b/crates/transport/src/managed/hop/server.rs
@@ -226,10 +226,10 @@
             body,
         };
         let sent_at = group.send_instant();
-        let answer = link
-            .run(&statement, deadline)
-            .await
-            .map_err(|error| member_failed(&group, member, &error, sent_at, true))?;
+        let answer = link.run(&statement, deadline).await.map_err(|error| {
+            let sent = !error.is_before_statement();
+            member_failed(&group, member, &error, sent_at, sent)
+        })?;
         group.record_answer(member, &answer, sent_at.boot_time);
         log::info!(
             request = request.id.as_str(),
@@ -327,11 +327,16 @@
     sent: bool,
 ) -> ForwardReply {
     group.record_failure(member, error, sent_at);
-    let kind = match error {
+    let cause = match error {
+        ConnectionError::BeforeStatement(cause) => cause,
+        other => other,
+    };
+    let kind = match cause {
         ConnectionError::Refused(refusal) => MemberFailureKind::GreetingRefused(*refusal),
         ConnectionError::Lost(_) => MemberFailureKind::Lost,
         ConnectionError::TimedOut => MemberFailureKind::TimedOut,
         ConnectionError::Protocol(_) => MemberFailureKind::Protocol,
+        ConnectionError::Mismatched(_) => MemberFailureKind::Mismatched,
         _ => MemberFailureKind::ConnectFailed,
     };
     ForwardReply::MemberFailed {
--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a member of a managed group.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
 
+use super::answer_record::{AnswerRecord, AwaitedAnswer, ReceivedAnswer};
 use super::codec::{MessageInput, StatementCodec};
 use super::prepared_names::PreparedNames;
 use super::statement_request::{MemberRequest, StatementBody};
@@ -31,6 +32,10 @@
 /// Connections that one host opens to a member at the same time. Each costs 12 ms of a
 /// slot of the member; after a loss of many hosts, all others open connections at once.
 const ATTEMPTS_MAX: usize = 2;
+/// Answers after which a connection is replaced. Its record must hold all of them, since a
+/// second answer may come at any time; the record then takes about 100 KiB. Another
+/// connection costs 12 ms of a slot.
+const ANSWERS_MAX: u64 = 2_048;
 /// Number of the connection that was opened last.
 static LAST_NUMBER: AtomicU64 = AtomicU64::new(0);
 
@@ -53,13 +58,17 @@
     TimedOut,
     /// The member's bytes violate the protocol.
     Protocol(String),
+    /// An answer may belong to an earlier statement of the connection, or bytes arrived
+    /// that no statement waits for. It is no failure of the member.
+    Mismatched(String),
     /// No holder ran the forwarded statement, and no byte of it reached the member;
     /// `None` if no holder could be reached.
     NotForwarded(Option<HolderRefusal>),
     /// The member refused to prepare the holder's connection for the statement, which
     /// was not sent.
     SetupRefused(MemberRefusal),
-    /// The holder observed this failure before a byte of the statement was sent.
+    /// This host or the holder observed this failure before a byte of the statement was
+    /// sent.
     BeforeStatement(Box<ConnectionError>),
     /// The statement was sent to a holder, whose reply did not come.
     ReplyLost(String),
@@ -70,14 +79,26 @@
     /// holder says nothing about the member.
     pub(crate) fn member_failure(&self) -> Option<&Self> {
         match self {
-            Self::NotForwarded(_) | Self::SetupRefused(_) | Self::ReplyLost(_) => None,
+            Self::NotForwarded(_)
+            | Self::SetupRefused(_)
+            | Self::ReplyLost(_)
+            | Self::Mismatched(_) => None,
             Self::BeforeStatement(error) => error.member_failure(),
             other => Some(other),
         }
     }
 
-    /// Returns whether it is certain that the member received no byte of the statement
-    /// that a relayed link passed on.
+    /// Returns whether an answer could not be attributed to a statement, so that another
+    /// connection to the same member may run the statement.
+    pub(crate) fn is_mismatch(&self) -> bool {
+        match self {
+            Self::Mismatched(_) => true,
+            Self::BeforeStatement(error) => error.is_mismatch(),
+            _ => false,
+        }
+    }
+
+    /// Returns whether it is certain that the member received no byte of the statement.
     pub(crate) fn is_before_statement(&self) -> bool {
         matches!(
             self,
@@ -102,6 +123,7 @@
             Self::Lost(reason) => write!(formatter, "connection lost: {reason}"),
             Self::TimedOut => formatter.write_str("deadline passed"),
             Self::Protocol(reason) => write!(formatter, "protocol violation: {reason}"),
+            Self::Mismatched(reason) => write!(formatter, "answer not attributed: {reason}"),
             Self::NotForwarded(Some(reason)) => {
                 write!(formatter, "not run by a holder: {}", reason.name())
             }
@@ -140,9 +162,12 @@
 pub(crate) struct MemberAnswer {
     pub(crate) origin: AnswerOrigin,
     pub(crate) rows: Vec<Bytes>,
-    /// The member's signature, or its refusal with the text of the refusal.
+    /// The member's signature, which is empty for statements of this host, or its refusal
+    /// with the text of the refusal.
     pub(crate) outcome: std::result::Result<Bytes, (MemberRefusal, String)>,
     pub(crate) position: Option<LogPosition>,
+    /// Whether this is certainly no second answer to an earlier statement.
+    pub(crate) is_first: bool,
 }
 
 /// State that a caller's session needs on a connection before its statement.
@@ -165,17 +190,23 @@
 ///
 /// # Invariants
 ///
-/// `outstanding` counts the answers that the member still owes. The connection is
-/// reused only while `outstanding` is zero. `values` and `prepared` hold what the
-/// member acknowledged on this connection. `origin` is that of the last answer.
+/// `awaited` holds the answers that the member still owes, in order. The connection is
+/// reused only while it is empty, no refusal was received, and every answer so far was
+/// attributed to its statement. `values` and `prepared` hold what the member acknowledged
+/// on this connection. `origin` is that of the last answer.
 #[derive(Debug)]
 pub(crate) struct MemberConnection<K> {
     origin: AnswerOrigin,
+    /// Id of the member, for logs.
+    member: String,
     stream: TcpStream,
     input: MessageInput,
     output: BytesMut,
-    outstanding: u32,
+    awaited: VecDeque<AwaitedAnswer>,
+    record: AnswerRecord,
     broken: bool,
+    /// Whether the connection broke because of an answer that was not attributed.
+    is_mismatched: bool,
     state: TransactionState,
     received_at: Instant,
     values: BTreeMap<String, String>,
@@ -206,11 +237,14 @@
                 connection: LAST_NUMBER.fetch_add(1, Ordering::Relaxed) + 1,
                 ordinal: 0,
             },
+            member: identity.member.clone(),
             stream,
             input: MessageInput::default(),
             output: BytesMut::new(),
-            outstanding: 1,
+            awaited: VecDeque::new(),
+            record: AnswerRecord::new(),
             broken: false,
+            is_mismatched: false,
             state: TransactionState::Idle,
             received_at: Instant::now(),
             values: BTreeMap::new(),
@@ -225,10 +259,7 @@
         let client = owner.as_deref().unwrap_or(host);
         K::put_connect(&mut connection.output, group, client, member);
         match connection.greet(deadline).await.map_err(turned_away)? {
-            MemberMessage::Ready { .. } => {
-                connection.outstanding = 0;
-                Ok(connection)
-            }
+            MemberMessage::Ready { .. } => Ok(connection),
             MemberMessage::Refused { refusal, .. } => Err(match refusal {
                 MemberRefusal::ConnectionLimit => ConnectionError::at_limit(),
                 _ => ConnectionError::Refused(refusal),
@@ -249,6 +280,11 @@
         self.state
     }
 
+    /// Returns whether the connection has answered a statement.
+    pub(crate) fn has_answered(&self) -> bool {
+        self.origin.ordinal > 0
+    }
+
     /// Returns whether the session's values can be set without a reset. A reset removes
     /// the values of other sessions, and with them all prepared statements.
     pub(crate) fn can_apply(&self, setup: &ConnectionSetup<'_>) -> bool {
@@ -262,6 +298,7 @@
         setup: &ConnectionSetup<'_>,
         deadline: Instant,
     ) -> Result<Option<MemberRefusal>> {
+        self.check_silence()?;
         if !self.can_apply(setup) {
             self.enqueue(&MemberStatement::Reset);
             self.values.clear();
@@ -285,15 +322,15 @@
         if let Some(begin) = &setup.begin {
             self.enqueue(begin);
         }
-        if self.outstanding == 0 {
+        if self.awaited.is_empty() {
             return Ok(None);
         }
         self.send(deadline).await?;
         let mut refused = None;
-        while self.outstanding > 0 {
-            let is_begin = setup.begin.is_some() && self.outstanding == 1;
+        while !self.awaited.is_empty() {
+            let is_begin = setup.begin.is_some() && self.awaited.len() == 1;
             // Only the statement that begins a transaction follows PREPARE.
-            let is_prepare = self.outstanding == 1 + u32::from(setup.begin.is_some());
+            let is_prepare = self.awaited.len() == 1 + usize::from(setup.begin.is_some());
             let outcome = self.answer(deadline).await?.outcome;
             let prepared = assigned.take_if(|_| is_prepare);
             match outcome {
@@ -319,6 +356,8 @@
         request: &MemberRequest<'_>,
         deadline: Instant,
     ) -> Result<MemberAnswer> {
+        self.check_silence()
+            .map_err(|error| ConnectionError::BeforeStatement(Box::new(error)))?;
         let body = match request.body {
             StatementBody::Text(text) => ForwardBody::Text(text),
             StatementBody::Commit => ForwardBody::Commit,
@@ -333,8 +372,8 @@
             since: request.since,
             body,
         };
+        self.awaited.push_back(self.record.expect(&statement));
         K::put_statement(&mut self.output, &statement);
-        self.outstanding += 1;
         self.send(deadline).await?;
         let answer = self.answer(deadline).await?;
         if let (Some(shape), Err((MemberRefusal::UnknownStatement, _))) =
@@ -351,6 +390,8 @@
         statement: &MemberStatement<'_>,
         deadline: Instant,
     ) -> Result<MemberAnswer> {
+        self.check_silence()
+            .map_err(|error| ConnectionError::BeforeStatement(Box::new(error)))?;
         self.enqueue(statement);
         self.send(deadline).await?;
         self.answer(deadline).await
@@ -358,7 +399,24 @@
 
     fn enqueue(&mut self, statement: &MemberStatement<'_>) {
         K::put_statement(&mut self.output, statement);
-        self.outstanding += 1;
+        self.awaited.push_back(self.record.expect(statement));
+    }
+
+    /// Fails if bytes have arrived that no statement waits for: a second answer to an
+    /// earlier statement, which would be read as that of the next one.
+    fn check_silence(&mut self) -> Result<()> {
+        if self.input.is_empty() {
+            match self.stream.try_read_buf(self.input.space(READ_BYTES)) {
+                Ok(0) => {
+                    let reason = "closed by the member".to_owned();
+                    return Err(self.fail(ConnectionError::Lost(reason)));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(self.fail(ConnectionError::Lost(error.to_string()))),
+                Ok(_) => {}
+            }
+        }
+        Err(self.mismatch("bytes before the statement"))
     }
 
     async fn send(&mut self, deadline: Instant) -> Result<()> {
@@ -375,24 +433,41 @@
         let mut outcome = None;
         loop {
             match self.next_message(deadline).await? {
-                MemberMessage::Row(row) => rows.push(row),
-                MemberMessage::Complete { signature } => outcome = Some(Ok(signature)),
-                MemberMessage::Refused { refusal, text } => outcome = Some(Err((refusal, text))),
+                MemberMessage::Row(row) if outcome.is_none() => rows.push(row),
+                MemberMessage::Complete { signature } if outcome.is_none() => {
+                    outcome = Some(Ok(signature));
+                }
+                MemberMessage::Refused { refusal, text } if outcome.is_none() => {
+                    outcome = Some(Err((refusal, text)));
+                }
                 MemberMessage::Ready { state, position } => {
                     let Some(outcome) = outcome else {
-                        let reason = "the end of an answer without a result";
-                        return Err(self.fail(ConnectionError::Protocol(reason.to_owned())));
+                        return Err(self.mismatch("the end of an answer without a result"));
+                    };
+                    let received = ReceivedAnswer {
+                        rows: &rows,
+                        success: outcome.as_ref().ok().map(Option::as_ref),
+                        state,
+                        position,
+                    };
+                    let Some(awaited) = self.awaited.pop_front() else {
+                        return Err(self.mismatch("an answer without a statement"));
+                    };
+                    let is_first = match self.record.admit(awaited, &received, self.state) {
+                        Ok(is_first) => is_first,
+                        Err(reason) => return Err(self.mismatch(reason)),
                     };
                     self.state = state;
-                    self.outstanding -= 1;
                     self.origin.ordinal += 1;
                     return Ok(MemberAnswer {
                         origin: self.origin,
                         rows,
-                        outcome,
+                        outcome: outcome.map(Option::unwrap_or_default),
                         position,
+                        is_first,
                     });
                 }
+                _ => return Err(self.mismatch("a message after the result of an answer")),
             }
         }
     }
@@ -421,6 +496,20 @@
         self.broken = true;
         error
     }
+
+    /// Breaks the connection because of an answer that may belong to another statement.
+    fn mismatch(&mut self, reason: &str) -> ConnectionError {
+        let AnswerOrigin {
+            connection,
+            ordinal,
+        } = self.origin;
+        log::warn!(
+            member = self.member.as_str(), connection, ordinal, reason;
+            "answer of a member not attributed"
+        );
+        self.is_mismatched = true;
+        self.fail(ConnectionError::Mismatched(reason.to_owned()))
+    }
 }
 
 /// Converts the error of a greeting. A member at its limit may reset a connection
@@ -465,7 +554,8 @@
                 connection,
                 ordinal,
             } = self.origin;
-            log::warn!(connection, ordinal; "surplus bytes of a member");
+            let member = self.member.as_str();
+            log::warn!(member, connection, ordinal; "surplus bytes of a member");
         }
         state
     }
@@ -475,7 +565,11 @@
     }
 
     fn release(&mut self) -> ReleaseState {
-        if self.broken || self.outstanding > 0 || !self.input.is_empty() {
+        if !self.broken && self.awaited.is_empty() && !self.input.is_empty() {
+            self.mismatch("bytes after an answer");
+        }
+        let is_used_up = self.record.has_refusal() || self.origin.ordinal >= ANSWERS_MAX;
+        if self.broken || !self.awaited.is_empty() || is_used_up {
             return ReleaseState::Broken;
         }
         match self.state {
@@ -484,6 +578,10 @@
         }
     }
 
+    fn is_mismatched(&self) -> bool {
+        self.is_mismatched
+    }
+
     async fn reset(&mut self) -> bool {
         let deadline = Instant::now() + RESET_TIMEOUT;
         let answered = self.ask(&MemberStatement::Rollback, deadline).await;
--- a/crates/transport/src/managed/metrics.rs
+++ b/crates/transport/src/managed/metrics.rs
@@ -89,7 +89,7 @@
             events: IntCounterVec::new(
                 Opts::new(
                     "cassia_entry_member_connections_total",
-                    "Connections to members that were opened, closed, turned away or had surplus bytes.",
+                    "Connections to members that were opened, closed, turned away, had surplus bytes or mismatched answers.",
                 ),
                 &["member", "event"],
             )?,
@@ -244,6 +244,7 @@
             ("closed", counts.closed),
             ("turned_away", counts.turned_away),
             ("surplus", counts.surplus),
+            ("mismatched", counts.mismatched),
         ];
         for (event, count) in events.into_iter().filter(|(_, count)| *count > 0) {
             let counter = self.connections.events.with_label_values(&[member, event]);
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -555,7 +555,9 @@
             _ => (ForwardFailure::MemberLostAfter, ResultCode::ReadUnanswered),
         };
         // A lost reply is the holder's failure: the next holder may ask the same member.
-        if failure != ForwardFailure::ReplyLost {
+        // After a mismatched answer, another connection to the primary may run it.
+        let may_retry_here = error.is_mismatch() && self.request.needs_primary();
+        if failure != ForwardFailure::ReplyLost && !may_retry_here {
             tried.push(member);
         }
         if failure.is_of_member() {
@@ -590,7 +592,9 @@
         sent_at: SendInstant,
         tried: &mut Vec<MemberKey>,
     ) {
-        tried.push(member);
+        if !(error.is_mismatch() && self.request.needs_primary()) {
+            tried.push(member);
+        }
         self.group.record_failure(member, error, sent_at);
     }
 
--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -215,7 +215,11 @@
                     log_placed(id, body, &self.group, member, &answer, 1);
                     return Ok(answer);
                 }
-                Err((MemberRefusal::Busy, _)) if Instant::now() + BUSY_PAUSE < deadline => {
+                // The connection attributes one refusal; a second one is an error of `ask`.
+                Err((MemberRefusal::Busy, _))
+                    if connection.state() == TransactionState::Open
+                        && Instant::now() + BUSY_PAUSE < deadline =>
+                {
                     sleep(BUSY_PAUSE).await;
                 }
                 Err((refusal, text)) => {
@@ -271,7 +275,8 @@
     }
 }
 
-/// Sends a statement, and repeats it while the member refuses it as busy.
+/// Sends a statement, and repeats it if the member refuses it as busy. A second refusal on
+/// the connection may be a second answer, so that the statement may have run.
 async fn ask_while_busy<K: StatementCodec>(
     connection: &mut PooledConnection<MemberLink<K>>,
     id: &str,
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -338,6 +338,11 @@
         }
     }
 
+    /// Records that a connection broke because of an answer that was not attributed.
+    fn record_mismatch(&self) {
+        self.lock().attempts.record_mismatch();
+    }
+
     /// Returns an idle connection, if there is one that is open.
     pub fn take_idle(self: &Arc<Self>) -> Option<PooledConnection<C>> {
         loop {
--- a/crates/transport/src/pool/attempts.rs
+++ b/crates/transport/src/pool/attempts.rs
@@ -20,6 +20,8 @@
     pub turned_away: u64,
     /// Idle connections on which the server sent bytes that nothing was waiting for.
     pub surplus: u64,
+    /// Connections that broke because an answer may belong to another request.
+    pub mismatched: u64,
     /// Time that requests spent until they had a connection or gave up.
     pub waited: Duration,
 }
@@ -85,6 +87,11 @@
         self.counts.surplus += 1;
     }
 
+    /// Records that a connection broke because of an answer that was not attributed.
+    pub(super) fn record_mismatch(&mut self) {
+        self.counts.mismatched += 1;
+    }
+
     /// Records how long a request waited for a connection.
     pub(super) fn record_wait(&mut self, waited: Duration) {
         self.counts.waited += waited;
--- a/crates/transport/src/pool/connection.rs
+++ b/crates/transport/src/pool/connection.rs
@@ -60,6 +60,11 @@
     /// Ends the current use of the connection and returns whether it can be
     /// reused.
     fn release(&mut self) -> ReleaseState;
+    /// Returns whether the connection broke because an answer may belong to another
+    /// request than the one that waited for it.
+    fn is_mismatched(&self) -> bool {
+        false
+    }
     /// Ends an open transaction and discards session state; returns whether the
     /// connection can be reused.
     fn reset(&mut self) -> impl Future<Output = bool> + Send;
--- a/crates/transport/src/pool/pooled_connection.rs
+++ b/crates/transport/src/pool/pooled_connection.rs
@@ -100,7 +100,11 @@
             }
             return;
         };
-        match connection.release() {
+        let released = connection.release();
+        if connection.is_mismatched() {
+            pool.record_mismatch();
+        }
+        match released {
             ReleaseState::Reusable => pool.check_in(self.owner.clone(), Some(connection)),
             ReleaseState::NeedsReset => reset::spawn(pool, self.owner.clone(), connection),
             ReleaseState::Broken => pool.check_in(self.owner.clone(), None),
--- a/crates/transport/src/pool/reset.rs
+++ b/crates/transport/src/pool/reset.rs
@@ -17,6 +17,9 @@
     };
     runtime.spawn(async move {
         let usable = connection.reset().await;
+        if connection.is_mismatched() {
+            pool.record_mismatch();
+        }
         pool.check_in(owner, usable.then_some(connection));
     });
 }
