--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -61,6 +61,16 @@
     Failed,
 }
 
+/// What a status that may be the second answer to an earlier question counts as if the
+/// member takes no other connection for the question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RepeatedStatus {
+    /// An answer. A member at its connection limit would otherwise count as lost.
+    Answer,
+    /// No answer.
+    Nothing,
+}
+
 /// A managed group with the connections to its members.
 #[derive(Debug)]
 pub(crate) struct GroupRuntime<K: StatementCodec, C> {
@@ -411,14 +421,26 @@
 
     /// Asks a member for its status. An answer that equals an earlier one of its connection
     /// may be the second answer to an earlier question; the question is then repeated on
-    /// another connection, unless the member takes none. The rows of a member in use
-    /// differ, so that this is rare there.
+    /// another connection. The rows of a member in use differ, so that this is rare there.
     pub(crate) async fn ask_status(
         &self,
         key: MemberKey,
         max_wait: Duration,
     ) -> Result<MemberStatus, AskError> {
-        self.ask(key, &MemberStatement::Status, max_wait).await
+        let repeated = RepeatedStatus::Nothing;
+        self.ask(key, &MemberStatement::Status, repeated, max_wait)
+            .await
+    }
+
+    /// Asks the primary for its status, to learn its position and whether it answers.
+    pub(crate) async fn probe_status(
+        &self,
+        key: MemberKey,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        let repeated = RepeatedStatus::Answer;
+        self.ask(key, &MemberStatement::Status, repeated, max_wait)
+            .await
     }
 
     /// Asks a member to become a replica if it is the primary of a term below
@@ -430,13 +452,15 @@
         max_wait: Duration,
     ) -> Result<MemberStatus, AskError> {
         let statement = MemberStatement::StepDown { term };
-        self.ask(key, &statement, max_wait).await
+        let repeated = RepeatedStatus::Nothing;
+        self.ask(key, &statement, repeated, max_wait).await
     }
 
     async fn ask(
         &self,
         key: MemberKey,
         statement: &MemberStatement<'_>,
+        repeated: RepeatedStatus,
         max_wait: Duration,
     ) -> Result<MemberStatus, AskError> {
         let sent_at = self.send_instant();
@@ -454,6 +478,8 @@
             if let Some(mut unused) = self.unused_status_connection(key, deadline).await {
                 asked_at = self.clock.now();
                 asked = unused.ask(statement, deadline).await;
+            } else if repeated == RepeatedStatus::Nothing {
+                return Err(AskError::NoConnection);
             }
         }
         let answer = match asked {
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -125,7 +125,7 @@
     let now = context.clock.now();
     if let Some(key) = group.with(|group| probe::primary_to_probe(group, duty, now)) {
         context.metrics.count_status_questions("watermark", 1);
-        // `ask_status` records the answer or the failure in the group.
-        let _status = group.ask_status(key, ROUND_TIMEOUT).await;
+        // `probe_status` records the answer or the failure in the group.
+        let _status = group.probe_status(key, ROUND_TIMEOUT).await;
     }
 }
