--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -297,6 +297,23 @@
         self.lock().group.members[index].snapshot()
     }
 
+    /// Writes an entry of another writer to the server list. It stays until it is
+    /// removed.
+    pub fn put_entry(&self, key: &str, value: &[u8]) {
+        self.lock().store.put("servers", key, value.to_vec());
+    }
+
+    /// Like [`put_entry`](Self::put_entry), but readers get `text` as it is instead of
+    /// in base64.
+    pub fn put_raw_entry(&self, key: &str, text: &str) {
+        self.lock().store.put_raw("servers", key, text);
+    }
+
+    /// Removes an entry of another writer from the server list.
+    pub fn remove_entry(&self, key: &str) {
+        self.lock().store.remove("servers", key);
+    }
+
     /// Returns the fencing tokens of all promotion calls, in order of arrival.
     /// Rejected calls are included.
     pub fn promotions(&self) -> Vec<u64> {
--- a/crates/standin/src/managed/store.rs
+++ b/crates/standin/src/managed/store.rs
@@ -58,6 +58,8 @@
 struct RowState {
     value: Vec<u8>,
     version: u64,
+    /// Whether readers get the value as it is instead of in base64.
+    is_raw: bool,
 }
 
 /// The store's rows, by table and key.
@@ -82,11 +84,21 @@
 
 impl StoreState {
     pub(super) fn put(&mut self, table: &str, key: &str, value: Vec<u8>) -> u64 {
+        self.put_row(table, key, value, false)
+    }
+
+    /// Writes a row whose value readers get as it is instead of in base64.
+    pub(super) fn put_raw(&mut self, table: &str, key: &str, text: &str) -> u64 {
+        self.put_row(table, key, text.as_bytes().to_vec(), true)
+    }
+
+    fn put_row(&mut self, table: &str, key: &str, value: Vec<u8>, is_raw: bool) -> u64 {
         let contents = &mut self.contents;
         contents.version += 1;
         let row = RowState {
             value,
             version: contents.version,
+            is_raw,
         };
         contents
             .rows
@@ -162,9 +174,13 @@
 }
 
 fn row_value(table: &str, key: &str, row: &RowState) -> Value {
+    let value = match row.is_raw {
+        true => String::from_utf8_lossy(&row.value).into_owned(),
+        false => BASE64_STANDARD.encode(&row.value),
+    };
     json!({
         "table": table, "part": "", "key": key,
-        "value": BASE64_STANDARD.encode(&row.value), "rowVersion": row.version,
+        "value": value, "rowVersion": row.version,
     })
 }
 
