--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -596,5 +596,9 @@
 
 /// Returns how many statements this host may have in flight at a member.
 fn in_flight_limit(slots: u32, hosts: u32) -> u32 {
-    (slots * IN_FLIGHT_PER_SLOT).div_ceil(hosts.max(1)).max(1)
+    // Another host may pass on an entry with any number of slots.
+    slots
+        .saturating_mul(IN_FLIGHT_PER_SLOT)
+        .div_ceil(hosts.max(1))
+        .max(1)
 }
