--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -200,6 +200,13 @@
         }
     }
 
+    /// Returns whether the plan may name a group: it does, or it is not known yet. Members
+    /// of other groups are of another writer, and a group lasts as long as the process.
+    pub(super) fn may_serve(&self, group: &str) -> bool {
+        let plan = self.plan();
+        plan.is_none_or(|plan| plan.groups.contains_key(group))
+    }
+
     /// Records the era of an answer of the store, at a revision of the answer. Returns
     /// `false` if the answer is of a former era and must not be used.
     ///
--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -7,6 +7,7 @@
 use coordination::managed::era::{marked_era, marker_key, EraMarker, EraRow};
 use coordination::managed::primary_view::{GroupRow, RowReading, READ_INTERVAL};
 use coordination::managed::reader::ReadingSource;
+use futures::future::join_all;
 use serde::Serialize;
 use state::clock::MonotonicClock;
 use state::member::MemberRole;
@@ -254,8 +255,9 @@
     }
 }
 
-/// Applies a reading of the server list to all groups. The first reading after an
-/// outage marks the store's return.
+/// Applies a reading of the server list to all groups. Members of groups that the plan
+/// does not name are ignored until the first reading after it does. The first reading
+/// after an outage marks the store's return.
 pub(super) fn apply_server_list<K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
     reading: &ServerListReading,
@@ -271,7 +273,7 @@
         let group = by_group.entry(&server.group).or_default();
         group.push(server.clone());
     }
-    for name in by_group.keys() {
+    for name in by_group.keys().filter(|name| context.may_serve(name)) {
         context.group(name);
     }
     for group in context.groups() {
@@ -319,47 +321,59 @@
     }
 }
 
-/// Creates the row of each group that has none, from its primary's status.
+/// Creates the row of each group that has none, from its primary's status. The members
+/// are asked at the same time, so that those that do not answer delay the next reading
+/// of the list by one timeout.
 async fn create_missing_rows<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
     context: &HostContext<K, C>,
     platform: &P,
     servers: &[ListedServer],
 ) {
-    for server in servers.iter().filter(|one| one.role == MemberRole::Primary) {
-        let group = context.group(&server.group);
-        if group.with(|group| group.primary_view.stored().is_some()) {
-            continue;
-        }
-        let Some(marker) = context.relay.marker() else {
-            continue;
-        };
-        let Some(key) = group.with(|group| group.find(&server.id)) else {
-            continue;
-        };
-        let Ok(status) = group.ask_status(key, STATUS_TIMEOUT).await else {
-            continue;
-        };
-        if status.role != MemberRole::Primary {
-            continue;
-        }
-        let row = GroupRow {
-            primary: server.id.clone(),
-            term: status.term,
-            change: None,
-        };
-        let is_behind = |known: &GroupRow| known.progress() > row.progress();
-        if group.with(|group| group.primary_view.row().is_some_and(is_behind)) {
-            // The store lost the row; `ChangeReason::Restored` writes it again.
-            continue;
-        }
-        let written = write_group_row(platform, &group.name, 0, &marker, &row).await;
-        if let Err(error) = written {
-            let reason = error.to_string();
-            log::warn!(
-                group = group.name.as_str(), reason = reason.as_str();
-                "cannot write the first row of a group"
-            );
-        }
+    let primaries = servers
+        .iter()
+        .filter(|one| one.role == MemberRole::Primary && context.may_serve(&one.group));
+    join_all(primaries.map(|server| create_missing_row(context, platform, server))).await;
+}
+
+/// Creates the row of the group of `server` if there is none and the server leads.
+async fn create_missing_row<P: HostPlatform, K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    platform: &P,
+    server: &ListedServer,
+) {
+    let group = context.group(&server.group);
+    if group.with(|group| group.primary_view.stored().is_some()) {
+        return;
+    }
+    let Some(marker) = context.relay.marker() else {
+        return;
+    };
+    let Some(key) = group.with(|group| group.find(&server.id)) else {
+        return;
+    };
+    let Ok(status) = group.ask_status(key, STATUS_TIMEOUT).await else {
+        return;
+    };
+    if status.role != MemberRole::Primary {
+        return;
+    }
+    let row = GroupRow {
+        primary: server.id.clone(),
+        term: status.term,
+        change: None,
+    };
+    let is_behind = |known: &GroupRow| known.progress() > row.progress();
+    if group.with(|group| group.primary_view.row().is_some_and(is_behind)) {
+        // The store lost the row; `ChangeReason::Restored` writes it again.
+        return;
+    }
+    let written = write_group_row(platform, &group.name, 0, &marker, &row).await;
+    if let Err(error) = written {
+        let reason = error.to_string();
+        log::warn!(
+            group = group.name.as_str(), reason = reason.as_str();
+            "cannot write the first row of a group"
+        );
     }
 }
 
