--- a/crates/transport/src/managed/store_follower.rs
+++ b/crates/transport/src/managed/store_follower.rs
@@ -33,6 +33,11 @@
 const LIST_OUTAGE_AGE: Duration = Duration::from_millis(3_500);
 /// Interval at which a host checks whether another host still reads for it.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Largest number of log lines about invalid entries in one [`REJECTION_PERIOD`]. Lines
+/// of level warn have no other limit, and an entry may change at every reading.
+const REJECTION_LINES: usize = 20;
+/// Period in which these lines are counted.
+const REJECTION_PERIOD: Duration = Duration::from_secs(60);
 /// Timeout of the status question that precedes the first row of a group.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -265,7 +270,7 @@
     let now = context.clock.now();
     let returned_at = {
         let mut history = context.server_list_history();
-        history.log_rejected(reading);
+        history.rejections.record(&reading.rejected, now);
         history.record_reading(now)
     };
     let mut by_group: HashMap<&str, Vec<ListedServer>> = HashMap::new();
@@ -287,8 +292,50 @@
 pub(super) struct ServerListHistory {
     listed_at: Option<Instant>,
     returned_at: Option<Instant>,
-    /// Keys of the invalid entries that were logged, with the reason.
-    rejected: HashMap<String, String>,
+    rejections: RejectionLog,
+}
+
+/// Which invalid entries were logged.
+#[derive(Debug, Default)]
+struct RejectionLog {
+    /// Invalid entries of the newest reading by key, with their reasons.
+    known: HashMap<String, String>,
+    /// Begin of the period in which the lines are counted.
+    began_at: Option<Instant>,
+    /// Lines of the period.
+    lines: usize,
+    /// New invalid entries and reasons of the period that were not logged.
+    omitted: usize,
+}
+
+impl RejectionLog {
+    /// Logs each invalid entry once for each reason, at most [`REJECTION_LINES`] in a
+    /// period, and the number of those that were omitted after its end.
+    fn record(&mut self, rejected: &[RejectedEntry], now: Instant) {
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= REJECTION_PERIOD;
+        if self.began_at.is_none_or(is_over) {
+            if self.omitted > 0 {
+                log::warn!(count = self.omitted; "server entries ignored");
+            }
+            (self.began_at, self.lines, self.omitted) = (Some(now), 0, 0);
+        }
+        let mut former = std::mem::take(&mut self.known);
+        for RejectedEntry { key, reason } in rejected {
+            if former.remove(key).as_ref() != Some(reason) {
+                self.log(key, reason);
+            }
+            self.known.insert(key.clone(), reason.clone());
+        }
+    }
+
+    fn log(&mut self, key: &str, reason: &str) {
+        if self.lines >= REJECTION_LINES {
+            self.omitted += 1;
+            return;
+        }
+        self.lines += 1;
+        log::warn!(entry = key, reason; "server entry ignored");
+    }
 }
 
 impl ServerListHistory {
@@ -306,19 +353,6 @@
     pub(super) fn record_return(&mut self, now: Instant) {
         self.returned_at = Some(now);
     }
-
-    /// Logs each invalid entry once for each reason.
-    fn log_rejected(&mut self, reading: &ServerListReading) {
-        let rejected = &reading.rejected;
-        self.rejected
-            .retain(|key, _| rejected.iter().any(|entry| entry.key == *key));
-        for RejectedEntry { key, reason } in rejected {
-            let known = self.rejected.insert(key.clone(), reason.clone());
-            if known.as_ref() != Some(reason) {
-                log::warn!(entry = key.as_str(), reason = reason.as_str(); "server entry ignored");
-            }
-        }
-    }
 }
 
 /// Creates the row of each group that has none, from its primary's status. The members
