--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -414,7 +414,9 @@
             self.phase_deadline = Some(now + CATCH_UP_TIMEOUT);
             return self.poll_members(group);
         };
-        let term = announcement.former.term.next();
+        // A stored row may hold any term. A primary of the largest one does not step down,
+        // so that all assurances have to end first.
+        let term = Term(announcement.former.term.0.saturating_add(1));
         let step = ChangeStep::StepDown { member, term };
         self.enter(StepPhase::SteppingDown, step)
     }
--- a/crates/coordination/src/managed/promotion_lease.rs
+++ b/crates/coordination/src/managed/promotion_lease.rs
@@ -97,7 +97,9 @@
 pub fn decide(reading: &LeaseReading, host: &str, incarnation: u64) -> AcquireDecision {
     let now_ms = millis(reading.store_time);
     let is_own = |row: &PromotionLease| row.host == host && row.incarnation == incarnation;
-    let first_token = reading.marker.era.0.saturating_mul(TOKENS_PER_ERA) + 1;
+    // The store states the era, and the row may hold any token.
+    let era = reading.marker.era.0;
+    let first_token = era.saturating_mul(TOKENS_PER_ERA).saturating_add(1);
     let mut fencing_token = first_token;
     if let Some(row) = &reading.row {
         let free_at = row.until_ms.saturating_add(millis(TAKEOVER_MARGIN));
@@ -106,7 +108,7 @@
                 host: row.host.clone(),
             };
         }
-        let next_token = row.fencing_token + u64::from(!is_own(row));
+        let next_token = row.fencing_token.saturating_add(u64::from(!is_own(row)));
         fencing_token = next_token.max(first_token);
     }
     AcquireDecision::Write {
