--- a/crates/coordination/tests/managed_limits.rs
+++ b/crates/coordination/tests/managed_limits.rs
@@ -7,11 +7,13 @@
 
 use coordination::managed::change::ChangeReason;
 use coordination::managed::change_steps::{ChangeProcedure, ChangeStep, StepOutcome};
+use coordination::managed::group::ManagedGroup;
 use coordination::managed::promotion_lease::{self, AcquireDecision, LeaseReading, PromotionLease};
 use googletest::prelude::*;
-use managed_support::{group_of_three, marker, ms, observe_primary};
+use managed_support::{group_of_three, marker, ms, observe_primary, server};
 use state::log::Term;
 use state::reading::StoreEra;
+use state::server_list::{ListedServer, ServerState};
 
 const STORE_TIME: Duration = Duration::from_secs(60);
 
@@ -92,3 +94,57 @@
         })
     );
 }
+
+/// Guards against a member whose later entries are ignored until it restarts, because
+/// another writer once replaced its entry by one with a higher count, and against an
+/// older copy of an entry that counts as the newest one.
+#[gtest]
+fn a_member_whose_count_was_outranked_is_followed_again() {
+    struct CountCase {
+        name: &'static str,
+        /// Counts of the entries that follow, one in each reading. The member is about to
+        /// stop in all of them but the first five.
+        counts: &'static [u64],
+        is_draining: bool,
+    }
+    let cases = [
+        CountCase {
+            name: "the member goes on below the count",
+            counts: &[11, 12, 14, 15, 17, 18],
+            is_draining: true,
+        },
+        CountCase {
+            name: "an older copy of the entry",
+            counts: &[11, 11, 11, 11, 11, 11],
+            is_draining: false,
+        },
+        CountCase {
+            name: "older and newer copies of the entry from several hosts",
+            counts: &[11, 5_000_001, 12, 5_000_002, 13, 14],
+            is_draining: false,
+        },
+    ];
+    let interval = ms(1_500);
+    let entry = |heartbeat, state| ListedServer {
+        heartbeat,
+        state,
+        ..server("d", "dc-1")
+    };
+    for case in cases {
+        let mut group = ManagedGroup::default();
+        let mut now = Instant::now();
+        group.apply_list(&[entry(10, ServerState::Ready)], None, now);
+        group.apply_list(&[entry(5_000_000, ServerState::Ready)], None, now);
+        for (index, count) in case.counts.iter().enumerate() {
+            now += interval;
+            let state = match index {
+                0..5 => ServerState::Ready,
+                _ => ServerState::Draining,
+            };
+            group.apply_list(&[entry(*count, state)], None, now);
+        }
+        let state = group.members.values().next().unwrap().server.state;
+        let is_draining = state == ServerState::Draining;
+        expect_that!(is_draining, eq(case.is_draining), "{}", case.name);
+    }
+}
