--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -44,6 +44,11 @@
 /// Age of the last answer on another connection that shows the same.
 const ANSWER_MAX_AGE: Duration = Duration::from_millis(1_000);
 
+/// Time after which a member that goes on counting below its newest entry is believed:
+/// that entry is of another writer. Entries that another host passes on are at most 4.5 s
+/// old; then each host reads the list itself.
+const OUTRANKED_MAX_AGE: Duration = Duration::from_millis(4_500);
+
 /// How an attempt to use a member failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContactFailure {
@@ -81,11 +86,22 @@
     pub seen_at: Instant,
 }
 
+/// Entries of a member's process that are older than its newest one.
+#[derive(Clone, Copy, Debug)]
+struct OutrankedEntries {
+    /// Instant of the first one since the newest entry.
+    seen_since: Instant,
+    /// Highest heartbeat among them.
+    heartbeat: u64,
+}
+
 /// One member of a managed group.
 #[derive(Clone, Debug)]
 pub struct ManagedMember {
     /// The member's entry in the list.
     pub server: ListedServer,
+    /// Older entries that the list had since `server`; `None` if there was none.
+    outranked: Option<OutrankedEntries>,
     /// Instant at which the newest heartbeat was first seen in the list.
     pub heartbeat_at: Instant,
     /// Instant since which the list has no entry of the member.
@@ -117,6 +133,7 @@
     fn new(server: ListedServer, now: Instant) -> Self {
         Self {
             server,
+            outranked: None,
             heartbeat_at: now,
             missing_since: None,
             contact: MemberContact::default(),
@@ -132,6 +149,25 @@
         }
     }
 
+    /// Records an older entry than the newest one. Returns whether it is to be used all the
+    /// same: the member has gone on counting below the newest entry for
+    /// [`OUTRANKED_MAX_AGE`]. An older copy of the list does not count on.
+    fn observe_outranked(&mut self, entry: &ListedServer, now: Instant) -> bool {
+        if entry.started_ms != self.server.started_ms {
+            return false;
+        }
+        let Some(outranked) = &mut self.outranked else {
+            self.outranked = Some(OutrankedEntries {
+                seen_since: now,
+                heartbeat: entry.heartbeat,
+            });
+            return false;
+        };
+        let has_risen = entry.heartbeat > outranked.heartbeat;
+        outranked.heartbeat = outranked.heartbeat.max(entry.heartbeat);
+        has_risen && now.saturating_duration_since(outranked.seen_since) >= OUTRANKED_MAX_AGE
+    }
+
     /// Returns whether a member that turned a connection away is at its connection
     /// limit and not failing: its heartbeats arrive, or it answers on another
     /// connection.
@@ -305,10 +341,12 @@
         };
         let member = &mut self.members[key];
         member.missing_since = None;
-        if compare_entries(server, &member.server, in_grace).is_lt() {
+        let is_older = compare_entries(server, &member.server, in_grace).is_lt();
+        if is_older && !member.observe_outranked(server, now) {
             // An older copy of the entry, which the member is about to write again.
             return;
         }
+        member.outranked = None;
         if member.server.started_ms != server.started_ms || member.server.address != server.address
         {
             events.push(ListEvent::Restarted(server.id.clone()));
