--- a/crates/coordination/tests/managed_limits.rs
+++ b/crates/coordination/tests/managed_limits.rs
@@ -8,11 +8,15 @@
 use coordination::managed::change::ChangeReason;
 use coordination::managed::change_steps::{ChangeProcedure, ChangeStep, StepOutcome};
 use coordination::managed::group::ManagedGroup;
+use coordination::managed::probe::{needs_round, primary_to_probe, ProbeDuty};
 use coordination::managed::promotion_lease::{self, AcquireDecision, LeaseReading, PromotionLease};
+use coordination::managed::store_clock::StoreClock;
 use googletest::prelude::*;
-use managed_support::{group_of_three, marker, ms, observe_primary, server};
-use state::log::Term;
-use state::reading::StoreEra;
+use managed_support::{
+    group_of_three, group_row, marker, ms, observe_primary, reading, revision, server,
+};
+use state::log::{LogPosition, Term};
+use state::reading::{GroupDigest, StoreEra, WatermarkDigest};
 use state::server_list::{ListedServer, ServerState};
 
 const STORE_TIME: Duration = Duration::from_secs(60);
@@ -148,3 +152,59 @@
         expect_that!(is_draining, eq(case.is_draining), "{}", case.name);
     }
 }
+
+/// Returns the longest whole number of seconds that can be added to an instant.
+fn seconds_left(now: Instant) -> Duration {
+    let bits = (0..64).rev().map(|bit| 1 << bit);
+    let seconds = bits.fold(0_u64, |sum, bit| {
+        let fits = |seconds| now.checked_add(Duration::from_secs(seconds)).is_some();
+        sum + if fits(sum + bit) { bit } else { 0 }
+    });
+    Duration::from_secs(seconds)
+}
+
+/// Guards against a task that ends because a time that another host passed on does not
+/// fit an instant.
+#[gtest]
+fn relayed_times_at_the_ends_of_their_ranges_end_no_task() {
+    let now = Instant::now();
+    let longest = seconds_left(now);
+    let times = [
+        Duration::ZERO,
+        STORE_TIME,
+        longest,
+        longest + STORE_TIME,
+        longest + STORE_TIME * 2,
+        Duration::MAX,
+    ];
+    for time in times {
+        let mut clock = StoreClock::default();
+        clock.record_relayed(now, STORE_TIME, now, Some(STORE_TIME));
+        clock.record_relayed(now, time, now + ms(1), Some(time));
+        for latest in times {
+            clock.latest_time_at(now + ms(2));
+            clock.earliest_time_at(now + ms(2));
+            let mut group = group_of_three(now);
+            let row = group_row("a", 2);
+            if let Some(asked_at) = clock.instant_of(latest) {
+                group.observe_row(&reading(&row, revision(2), asked_at), now);
+            }
+            let digest = GroupDigest {
+                group: "birds".to_owned(),
+                primary: "a".to_owned(),
+                term: Term(2),
+                assured_until: Some(latest),
+                watermark: Some(WatermarkDigest {
+                    asked_at: latest,
+                    position: LogPosition::new(u64::MAX, u64::MAX),
+                }),
+            };
+            group.observe_digest(&digest, |time| clock.instant_of(time));
+            for duty in [ProbeDuty::Alone, ProbeDuty::ForOthers, ProbeDuty::Served] {
+                needs_round(&group, duty, now);
+                primary_to_probe(&group, duty, now);
+            }
+            group.digest("birds", |instant| clock.earliest_time_at(instant));
+        }
+    }
+}
