--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -313,7 +313,10 @@
             self.successor = None;
         }
         if row.change.is_none() && self.successor.is_none() && reading.is_settled {
-            self.extend_assurance(reading.asked_at + ASSURANCE_DURATION);
+            // A relayed reading may have any time. One that fits no instant says nothing.
+            if let Some(until) = reading.asked_at.checked_add(ASSURANCE_DURATION) {
+                self.extend_assurance(until);
+            }
         }
         event
     }
