soak: texts, prepared statements, second answers, and what members ran

Members answer twice or refuse statements as busy, in series that overlap the other faults. Checks at the end of a run: each statement that a member ran was sent with this id, kind, shape and arguments; a success has the caller's signature, the rows of its statement only and a row that was written under this item, whole; a session value is the acknowledged one; a refused write is in no member's log and, outside of transactions, was run by none. A finding names its rule, ids and texts; 20 of a kind are kept, all are counted.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -66,11 +66,13 @@
     };
     let report = run_soak(&options).await?;
     println!(
-        "seed {seed}: {} of {} writes accepted, {} reads, {} promotions, longest gap {:?}, \
+        "seed {seed}: {} of {} writes accepted, {} reads, {} run by members, \
+         {} promotions, longest gap {:?}, \
          recovery {:?}, {} KiB",
         report.writes.1,
         report.writes.0,
         report.reads,
+        report.members_ran,
         report.promotions,
         report.longest_gap,
         report.recovery,
@@ -78,10 +80,11 @@
     );
     if !report.findings.is_empty() {
         println!("logs in {}", options.folder.display());
+        println!("findings: {:?}", report.finding_counts);
         for fault in &report.faults {
             println!("  {fault}");
         }
-        for finding in report.findings.iter().take(10) {
+        for finding in &report.findings {
             println!("  {finding}");
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,22 @@
 /// announcement to more than a change of primary.
 const LOST_MS: std::ops::Range<u64> = 300..6_000;
 
+/// Length of one fault of a series of answer faults: from some statements to some
+/// turns of all connections.
+const ANSWER_FAULT_MS: std::ops::Range<u64> = 100..1_500;
+/// Time between the starts of two faults of a series. It is shorter than most of
+/// them, so that they overlap.
+const ANSWER_FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..800;
+/// Time between two series of answer faults. It leaves time without them, so that
+/// other faults also occur alone.
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 500..3_000;
+/// Delays of second answers: with the first one, within the pause of a caller, and
+/// when the connection serves another statement or is idle.
+const REPEAT_DELAYS_MS: [u64; 6] = [0, 1, 5, 20, 100, 300];
+/// Number of statements that are refused as busy, from a single one to those of
+/// all callers of a run.
+const BUSY_COUNT: std::ops::Range<u32> = 1..30;
+
 /// A fault that is injected from outside the processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FaultKind {
@@ -71,6 +87,10 @@
     DrainPrimary,
     /// Replication to the replicas is held back.
     HoldReplication,
+    /// Members send all answers, or only refusals, a second time after the delay.
+    RepeatAnswers { only_refusals: bool, delay_ms: u64 },
+    /// Members refuse the next statements of callers as busy.
+    RefuseAsBusy { count: u32 },
 }
 
 /// A fault in the schedule of a run.
@@ -83,11 +103,11 @@
 }
 
 /// Draws the schedule of a run. Faults can overlap, and some of the drawn kinds
-/// occur three times in a row.
-pub(crate) fn plan_faults(random: &mut StdRng, length: Duration) -> Vec<PlannedFault> {
+/// occur three times in a row. They begin before `end`.
+pub(crate) fn plan_faults(random: &mut StdRng, end: Duration) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
     let mut at = Duration::from_millis(500);
-    while at < length {
+    while at < end {
         let kind = draw_fault_kind(random);
         let repeats = if random.random_bool(0.2) { 3 } else { 1 };
         for _ in 0..repeats {
@@ -100,9 +120,41 @@
             at += Duration::from_millis(random.random_range(100..2_500));
         }
     }
+    faults.extend(plan_answer_faults(random, end));
+    faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws series of faults in the members' answers, which overlap each other and
+/// the other faults.
+fn plan_answer_faults(random: &mut StdRng, end: Duration) -> Vec<PlannedFault> {
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(SERIES_PAUSE_MS));
+    while at < end {
+        for _ in 0..random.random_range(2..6) {
+            faults.push(PlannedFault {
+                at,
+                kind: draw_answer_fault(random),
+                length: Duration::from_millis(random.random_range(ANSWER_FAULT_MS)),
+            });
+            at += Duration::from_millis(random.random_range(ANSWER_FAULT_INTERVAL_MS));
+        }
+        at += Duration::from_millis(random.random_range(SERIES_PAUSE_MS));
+    }
+    faults
+}
+
+fn draw_answer_fault(random: &mut StdRng) -> FaultKind {
+    if random.random_bool(0.4) {
+        let count = random.random_range(BUSY_COUNT);
+        return FaultKind::RefuseAsBusy { count };
+    }
+    FaultKind::RepeatAnswers {
+        only_refusals: random.random_bool(0.4),
+        delay_ms: REPEAT_DELAYS_MS[random.random_range(0..REPEAT_DELAYS_MS.len())],
+    }
+}
+
 fn draw_fault_kind(random: &mut StdRng) -> FaultKind {
     let host = random.random_range(0..HOSTS);
     let member = random.random_range(0..MEMBERS);
--- a/crates/soak/src/findings.rs
+++ b/crates/soak/src/findings.rs
@@ -1,9 +1,17 @@
 //! The record of what callers observed, and the checks for broken promises.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use standin::managed::RanStatement;
+
+/// Number of characters of a text that a finding names.
+const TEXT_LIMIT: usize = 80;
+/// Number of findings of a kind that are kept; the others are only counted. One
+/// misplaced answer makes all later ones of its session findings.
+const FINDINGS_PER_KIND: usize = 20;
+
 /// A promise that was not kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SoakFinding {
@@ -15,12 +23,28 @@
 
 impl fmt::Display for SoakFinding {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:?}: {}", self.kind, self.detail)
+        write!(
+            formatter,
+            "{} ({:?}): {}",
+            self.kind.rule(),
+            self.kind,
+            self.detail
+        )
+    }
+}
+
+/// Returns the start of a text with its line feeds and other special characters
+/// escaped.
+pub(crate) fn excerpt(text: &str) -> String {
+    let start: String = text.chars().take(TEXT_LIMIT).collect();
+    match start.len() < text.len() {
+        true => format!("{start:?}... ({} bytes)", text.len()),
+        false => format!("{start:?}"),
     }
 }
 
 /// The promises that the soak checks, named by their violation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FindingKind {
     /// An accepted write is kept, unless a promotion rolls it back.
     LostWrite,
@@ -32,8 +56,16 @@
     TornTransaction,
     /// A read is as fresh as its route promises.
     StaleRead,
-    /// An answer carries the member's signature.
+    /// An answer carries the member's signature for the caller's statement.
     BadSignature,
+    /// A successful answer has the rows of its statement only, and a row is what a
+    /// caller wrote under the item that is read.
+    MixedAnswer,
+    /// Members run what callers sent: under the same id, with the same kind, shape
+    /// and arguments.
+    UnaskedStatement,
+    /// A session has the values and prepared statements that were acknowledged.
+    SessionState,
     /// After the last fault, every host serves within the target time.
     NotServing,
     /// A process ends only on request, successfully and in time.
@@ -44,6 +76,23 @@
     TooMuchMemory,
 }
 
+impl FindingKind {
+    /// Returns the name of the users' rule that is broken, or `-` if there is none.
+    pub const fn rule(self) -> &'static str {
+        match self {
+            Self::LostWrite => "LOST",
+            Self::DoubledWrite => "TWICE",
+            Self::RefusedWriteKept => "REFUSED",
+            Self::StaleRead => "STALE",
+            Self::BadSignature | Self::MixedAnswer => "MIXED",
+            Self::UnaskedStatement => "UNASKED",
+            Self::SessionState => "PINNED",
+            Self::NotServing => "RECOVER",
+            Self::TornTransaction | Self::ProcessEnd | Self::BadLog | Self::TooMuchMemory => "-",
+        }
+    }
+}
+
 /// Outcome of a write as its caller knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
@@ -64,12 +113,79 @@
 pub struct WriteRecord {
     /// The written item.
     pub item: usize,
-    /// Number that is unique to this write and also its data.
+    /// Number that is unique to this write.
     pub number: u64,
     /// Outcome as the caller knows it.
     pub outcome: WriteOutcome,
     /// Whether the write with the next number belongs to the same transaction.
     pub is_first_of_pair: bool,
+    /// Whether the write is a statement outside of transactions. It takes effect when
+    /// a member runs it.
+    pub is_single: bool,
+}
+
+/// The item and the number of a write, found by its data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriteKey {
+    /// The written item.
+    pub item: usize,
+    /// Number of the write.
+    pub number: u64,
+}
+
+/// A read, write or commit as its caller sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentStatement {
+    /// `READ`, `WRITE` or `COMMIT`.
+    pub kind: String,
+    /// Shape of the prepared statement; `None` for a direct statement.
+    pub shape: Option<String>,
+    /// Item and data.
+    pub arguments: String,
+}
+
+impl SentStatement {
+    /// Returns whether a member ran the statement unchanged.
+    fn is_same(&self, ran: &RanStatement) -> bool {
+        self.kind == ran.kind && self.shape == ran.shape && self.arguments == ran.arguments
+    }
+}
+
+impl fmt::Display for SentStatement {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        describe(
+            formatter,
+            &self.kind,
+            self.shape.as_deref(),
+            &self.arguments,
+        )
+    }
+}
+
+fn describe(
+    formatter: &mut fmt::Formatter<'_>,
+    kind: &str,
+    shape: Option<&str>,
+    arguments: &str,
+) -> fmt::Result {
+    write!(formatter, "{kind} {}", excerpt(arguments))?;
+    match shape {
+        Some(shape) => write!(formatter, " of shape {}", excerpt(shape)),
+        None => Ok(()),
+    }
+}
+
+/// What the members of a run stored and ran.
+#[derive(Clone, Debug, Default)]
+pub struct MemberEvidence {
+    /// Data in the log of the last primary.
+    pub log: Vec<String>,
+    /// Data in the logs of the other members.
+    pub other_logs: Vec<Vec<String>>,
+    /// Data that promotions rolled back.
+    pub rolled_back: Vec<String>,
+    /// Statements of callers that members ran.
+    pub ran: Vec<RanStatement>,
 }
 
 /// A read of a caller.
@@ -93,31 +209,72 @@
     pub writes: Vec<WriteRecord>,
     /// Reads in the order of their answers.
     pub reads: Vec<ReadRecord>,
-    /// Promises that were not kept.
+    /// The data of all writes, recorded before they are sent.
+    pub keys: HashMap<String, WriteKey>,
+    /// The reads, writes and commits that callers sent, by id.
+    pub sent: HashMap<String, SentStatement>,
+    /// Promises that were not kept; of each kind the first ones only.
     pub findings: Vec<SoakFinding>,
+    /// Number of all findings, by kind.
+    pub finding_counts: BTreeMap<FindingKind, usize>,
 }
 
 impl CallerRecord {
-    /// Adds a finding.
+    /// Counts a finding, and keeps it if it is one of the first of its kind.
     pub fn add_finding(&mut self, kind: FindingKind, detail: String) {
-        self.findings.push(SoakFinding { kind, detail });
+        let count = self.finding_counts.entry(kind).or_default();
+        *count += 1;
+        if *count <= FINDINGS_PER_KIND {
+            self.findings.push(SoakFinding { kind, detail });
+        }
+    }
+
+    /// Compares the record with what members stored and ran, and adds a finding for
+    /// everything that breaks a promise.
+    pub fn check(&mut self, evidence: &MemberEvidence) {
+        let index = LogIndex::new(evidence, &self.keys);
+        let traces = self.write_traces();
+        let mut findings = self.check_writes(&index, &traces);
+        findings.extend(self.check_reads(&index, &traces));
+        findings.extend(self.check_ran(&evidence.ran));
+        for SoakFinding { kind, detail } in findings {
+            self.add_finding(kind, detail);
+        }
     }
 
-    /// Compares the record with the log of the last primary and with the data
-    /// that promotions rolled back, and adds a finding for every
-    /// write and read that breaks a promise.
-    pub fn check(&mut self, log: &[String], rolled_back: &[String]) {
-        let index = LogIndex::new(log, rolled_back);
+    /// Returns the id and the data of each write, by its number.
+    fn write_traces(&self) -> HashMap<u64, WriteTrace<'_>> {
+        let writes = self.sent.iter().filter(|(_, sent)| sent.kind == "WRITE");
+        let traces = writes.filter_map(|(id, sent)| {
+            let (_, data) = sent.arguments.split_once(' ')?;
+            let number = self.keys.get(data)?.number;
+            Some((number, WriteTrace { id, data }))
+        });
+        traces.collect()
+    }
+
+    fn check_writes(
+        &self,
+        index: &LogIndex,
+        traces: &HashMap<u64, WriteTrace<'_>>,
+    ) -> Vec<SoakFinding> {
         let mut findings = Vec::new();
         for write in &self.writes {
             if let Some(kind) = index.check_write(write) {
-                let detail = format!(
-                    "{write:?} appears in the log {} times",
-                    index.count(write.number)
-                );
+                let count = index.count(write.number);
+                let trace = traces.get(&write.number);
+                let detail = format!("{trace:?}, {write:?}: {count} times in the log");
                 findings.push(SoakFinding { kind, detail });
             }
         }
+        findings
+    }
+
+    fn check_reads(
+        &self,
+        index: &LogIndex,
+        traces: &HashMap<u64, WriteTrace<'_>>,
+    ) -> Vec<SoakFinding> {
         let accepted: Vec<(&WriteRecord, Instant)> = self
             .writes
             .iter()
@@ -126,19 +283,45 @@
                 WriteOutcome::Refused | WriteOutcome::Unknown => None,
             })
             .collect();
+        let mut findings = Vec::new();
         for read in &self.reads {
             let missed = accepted
                 .iter()
                 .find(|(write, at)| index.misses(read, write, *at));
             if let Some((write, at)) = missed {
                 let before = read.must_see_before.saturating_duration_since(*at);
+                let (trace, seen) = (traces.get(&write.number), traces.get(&read.seen));
                 findings.push(SoakFinding {
                     kind: FindingKind::StaleRead,
-                    detail: format!("{read:?} misses {write:?}, accepted {before:?} earlier"),
+                    detail: format!(
+                        "{read:?} of {seen:?} misses {write:?} of {trace:?}, \
+                         accepted {before:?} earlier"
+                    ),
                 });
             }
         }
-        self.findings.extend(findings);
+        findings
+    }
+
+    fn check_ran(&self, ran: &[RanStatement]) -> Vec<SoakFinding> {
+        let mut findings = Vec::new();
+        for statement in ran {
+            let sent = self.sent.get(&statement.id);
+            if sent.is_some_and(|sent| sent.is_same(statement)) {
+                continue;
+            }
+            let sent = sent.map_or("nothing".to_owned(), SentStatement::to_string);
+            let ran = SentStatement {
+                kind: statement.kind.clone(),
+                shape: statement.shape.clone(),
+                arguments: statement.arguments.clone(),
+            };
+            findings.push(SoakFinding {
+                kind: FindingKind::UnaskedStatement,
+                detail: format!("id {}: ran {ran}, sent {sent}", statement.id),
+            });
+        }
+        findings
     }
 
     fn acceptance_times(&self) -> Vec<Instant> {
@@ -164,25 +347,51 @@
     }
 }
 
-/// The log of the last primary and the rolled-back writes, indexed by the number
-/// of the write.
+/// The id and the data of a write, for findings.
+struct WriteTrace<'a> {
+    id: &'a str,
+    data: &'a str,
+}
+
+impl fmt::Debug for WriteTrace<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "id {} {}", self.id, excerpt(self.data))
+    }
+}
+
+/// What members stored and ran, indexed by the number of the write.
 struct LogIndex {
     positions: HashMap<u64, Vec<usize>>,
     rolled_back: HashSet<u64>,
+    /// Writes that are in the log of any member or were rolled back.
+    logged: HashSet<u64>,
+    /// Writes that a member ran, with those of transactions.
+    ran: HashSet<u64>,
 }
 
 impl LogIndex {
-    fn new(log: &[String], rolled_back: &[String]) -> Self {
+    fn new(evidence: &MemberEvidence, keys: &HashMap<String, WriteKey>) -> Self {
+        let number = |data: &String| keys.get(data).map(|key| key.number);
         let mut positions: HashMap<u64, Vec<usize>> = HashMap::new();
-        for (position, data) in log.iter().enumerate() {
-            if let Ok(number) = data.parse() {
+        for (position, data) in evidence.log.iter().enumerate() {
+            if let Some(number) = number(data) {
                 positions.entry(number).or_default().push(position);
             }
         }
-        let rolled_back = rolled_back.iter().filter_map(|data| data.parse().ok());
+        let rolled_back: HashSet<u64> = evidence.rolled_back.iter().filter_map(number).collect();
+        let others = evidence.other_logs.iter().flatten().filter_map(number);
+        let logged = others.chain(rolled_back.iter().copied());
+        let logged = logged.chain(positions.keys().copied()).collect();
+        let writes = evidence.ran.iter().filter(|one| one.kind == "WRITE");
+        let ran = writes.filter_map(|one| {
+            let (_, data) = one.arguments.split_once(' ')?;
+            keys.get(data).map(|key| key.number)
+        });
         Self {
+            ran: ran.collect(),
             positions,
-            rolled_back: rolled_back.collect(),
+            rolled_back,
+            logged,
         }
     }
 
@@ -204,12 +413,18 @@
         match write.outcome {
             _ if count > 1 => Some(FindingKind::DoubledWrite),
             WriteOutcome::Accepted { .. } if !was_kept => Some(FindingKind::LostWrite),
-            WriteOutcome::Refused if was_kept => Some(FindingKind::RefusedWriteKept),
+            WriteOutcome::Refused if self.has_effect(write) => Some(FindingKind::RefusedWriteKept),
             _ if is_torn => Some(FindingKind::TornTransaction),
             _ => None,
         }
     }
 
+    /// Returns whether any member ran a single write or kept a write. The log of a
+    /// superseded primary may have been replaced since.
+    fn has_effect(&self, write: &WriteRecord) -> bool {
+        self.logged.contains(&write.number) || write.is_single && self.ran.contains(&write.number)
+    }
+
     /// Returns whether a read misses a write that it must see. Compares positions
     /// in the log rather than numbers, because a write without an answer may take
     /// effect after a write with a higher number.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,5 +9,7 @@
 mod daemon;
 mod faults;
 pub mod findings;
+mod sessions;
 mod site;
 pub mod soak_run;
+pub mod texts;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -8,12 +8,13 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use standin::managed::ManagedSite;
+use standin::managed::{AnswerRepeat, ManagedSite};
 use standin::relay::TcpRelay;
 use state::entry::{EntrySettings, StoreSettings};
 
 use crate::daemon::DaemonProcess;
 use crate::faults::FaultKind;
+use crate::findings::MemberEvidence;
 
 /// Number of hosts of a site.
 pub(crate) const HOSTS: usize = 3;
@@ -134,11 +135,22 @@
         Ok(highest)
     }
 
-    /// Returns the data in the log of the last primary, and the data that
-    /// promotions rolled back.
-    pub(crate) fn log_and_rolled_back(&self) -> (Vec<String>, Vec<String>) {
-        let primary = self.platform.member(self.platform.primary());
-        (primary.data, self.platform.rolled_back())
+    /// Returns what the members stored and ran.
+    pub(crate) fn evidence(&self) -> MemberEvidence {
+        let primary = self.platform.primary();
+        let mut evidence = MemberEvidence {
+            rolled_back: self.platform.rolled_back(),
+            ..MemberEvidence::default()
+        };
+        for index in 0..MEMBERS {
+            let member = self.platform.member(index);
+            evidence.ran.extend(member.statements);
+            match index == primary {
+                true => evidence.log = member.data,
+                false => evidence.other_logs.push(member.data),
+            }
+        }
+        evidence
     }
 
     /// Returns the number of promotions.
@@ -211,6 +223,18 @@
                 self.with_host(host, |target| target.caller_relay.set_cut(true))
             }
             FaultKind::HoldReplication => self.platform.hold_replication(true),
+            FaultKind::RepeatAnswers {
+                only_refusals,
+                delay_ms,
+            } => {
+                let delay = Duration::from_millis(delay_ms);
+                let repeat = match only_refusals {
+                    true => AnswerRepeat::Refusals(delay),
+                    false => AnswerRepeat::All(delay),
+                };
+                self.platform.repeat_answers(Some(repeat));
+            }
+            FaultKind::RefuseAsBusy { count } => self.platform.refuse_as_busy(count),
             FaultKind::KillMember { member } => return Ok(self.kill_member(member)),
             FaultKind::KillPrimary => return Ok(self.kill_member(primary)),
             FaultKind::DrainPrimary => {
@@ -323,6 +347,8 @@
                 self.with_host(host, |target| target.caller_relay.set_cut(false))
             }
             FaultKind::HoldReplication => self.platform.hold_replication(false),
+            FaultKind::RepeatAnswers { .. } => self.platform.repeat_answers(None),
+            FaultKind::RefuseAsBusy { .. } => self.platform.refuse_as_busy(0),
             FaultKind::DrainPrimary => {
                 // The drained member stops, and a new one starts at its address.
                 if let Some(member) = member.and_then(|member| self.kill_member(member)) {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -1,6 +1,7 @@
 //! Runs the soak once: starts the site, injects the faults and checks the
 //! promises.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -46,14 +47,18 @@
 /// Findings and figures of a run.
 #[derive(Clone, Debug, Default)]
 pub struct SoakReport {
-    /// Promises that were not kept.
+    /// Promises that were not kept; of each kind the first ones only.
     pub findings: Vec<SoakFinding>,
+    /// Number of all findings, by kind.
+    pub finding_counts: BTreeMap<FindingKind, usize>,
     /// Descriptions of the faults, in the order of their start.
     pub faults: Vec<String>,
     /// Number of all writes and of accepted writes.
     pub writes: (usize, usize),
     /// Number of answered reads.
     pub reads: usize,
+    /// Number of the callers' statements that members ran.
+    pub members_ran: usize,
     /// Number of promotions.
     pub promotions: usize,
     /// Longest time between two accepted writes.
@@ -157,11 +162,11 @@
 /// Checks what callers observed, the ends of the processes, their logs and their
 /// memory, and completes the report.
 fn check_run(site: &SoakSite, pool: &CallerPool, report: &mut SoakReport) -> Result<()> {
-    let (log, rolled_back) = site.log_and_rolled_back();
+    let evidence = site.evidence();
     let invalid_lines = invalid_log_lines(&site.logs())?;
     report.promotions = site.promotions();
     pool.with_record(|record| {
-        record.check(&log, &rolled_back);
+        record.check(&evidence);
         for failure in site.exit_failures() {
             record.add_finding(FindingKind::ProcessEnd, failure.clone());
         }
@@ -174,8 +179,10 @@
         }
         report.writes = (record.writes.len(), record.accepted_count());
         report.reads = record.reads.len();
+        report.members_ran = evidence.ran.len();
         report.longest_gap = record.longest_gap();
         report.findings = std::mem::take(&mut record.findings);
+        report.finding_counts = std::mem::take(&mut record.finding_counts);
     });
     Ok(())
 }
--- a/crates/soak/tests/findings.rs
+++ b/crates/soak/tests/findings.rs
@@ -4,7 +4,11 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use soak::findings::{CallerRecord, FindingKind, ReadRecord, WriteOutcome, WriteRecord};
+use soak::findings::{
+    CallerRecord, FindingKind, MemberEvidence, ReadRecord, SentStatement, WriteKey, WriteOutcome,
+    WriteRecord,
+};
+use standin::managed::RanStatement;
 
 const ITEM: usize = 3;
 
@@ -18,16 +22,24 @@
     expected: Option<FindingKind>,
 }
 
+fn texts(data: &[&str]) -> Vec<String> {
+    data.iter().map(|one| (*one).to_owned()).collect()
+}
+
 fn seconds_after(started: Instant, number: u64) -> Instant {
     started + Duration::from_secs(number)
 }
 
 fn write(record: &mut CallerRecord, number: u64, outcome: WriteOutcome, first_of_pair: bool) {
+    record
+        .keys
+        .insert(number.to_string(), WriteKey { item: ITEM, number });
     record.writes.push(WriteRecord {
         item: ITEM,
         number,
         outcome,
         is_first_of_pair: first_of_pair,
+        is_single: !first_of_pair,
     });
 }
 
@@ -156,9 +168,170 @@
     for case in cases {
         let mut record = CallerRecord::default();
         (case.fill)(&mut record, Instant::now());
-        let texts =
-            |data: &[&str]| -> Vec<String> { data.iter().map(|one| (*one).to_owned()).collect() };
-        record.check(&texts(case.log), &texts(case.rolled_back));
+        record.check(&MemberEvidence {
+            log: texts(case.log),
+            rolled_back: texts(case.rolled_back),
+            ..MemberEvidence::default()
+        });
+        let found = record.findings.first().map(|finding| finding.kind);
+        expect_that!(found, eq(case.expected), "{}", case.name);
+    }
+}
+
+/// Kind, shape and arguments of a statement.
+type StatementParts = (&'static str, Option<&'static str>, &'static str);
+
+/// A statement with id q1 as a caller sent it and as a member ran it.
+struct RanCase {
+    name: &'static str,
+    sent: Option<StatementParts>,
+    ran: StatementParts,
+    expected: Option<FindingKind>,
+}
+
+/// Guards against a soak that does not compare what members ran with what callers
+/// sent: cut texts, other shapes and forged statements were no findings.
+#[gtest]
+fn check_finds_statements_that_nobody_sent() {
+    let cases = [
+        RanCase {
+            name: "the statement that was sent",
+            sent: Some(("WRITE", Some("q 2"), "i3 a\nb")),
+            ran: ("WRITE", Some("q 2"), "i3 a\nb"),
+            expected: None,
+        },
+        RanCase {
+            name: "an id that nobody chose",
+            sent: None,
+            ran: ("WRITE", None, "i3 a"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "a text that ends at its line feed",
+            sent: Some(("WRITE", None, "i3 a\nb")),
+            ran: ("WRITE", None, "i3 a"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "a text without its last blank",
+            sent: Some(("WRITE", None, "i3 a ")),
+            ran: ("WRITE", None, "i3 a"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "another kind",
+            sent: Some(("READ", None, "i3")),
+            ran: ("WRITE", None, "i3"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "another shape",
+            sent: Some(("WRITE", Some("q 2"), "i3 a")),
+            ran: ("WRITE", Some("q"), "i3 a"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "a prepared statement that ran as a direct one",
+            sent: Some(("WRITE", Some("q"), "i3 a")),
+            ran: ("WRITE", None, "i3 a"),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+        RanCase {
+            name: "a commit that nobody asked for",
+            sent: Some(("READ", None, "i3")),
+            ran: ("COMMIT", None, ""),
+            expected: Some(FindingKind::UnaskedStatement),
+        },
+    ];
+    for case in cases {
+        let mut record = CallerRecord::default();
+        if let Some((kind, shape, arguments)) = case.sent {
+            let sent = SentStatement {
+                kind: kind.to_owned(),
+                shape: shape.map(str::to_owned),
+                arguments: arguments.to_owned(),
+            };
+            record.sent.insert("q1".to_owned(), sent);
+        }
+        let (kind, shape, arguments) = case.ran;
+        record.check(&MemberEvidence {
+            ran: vec![RanStatement {
+                id: "q1".to_owned(),
+                kind: kind.to_owned(),
+                shape: shape.map(str::to_owned),
+                arguments: arguments.to_owned(),
+            }],
+            ..MemberEvidence::default()
+        });
+        let found = record.findings.first().map(|finding| finding.kind);
+        expect_that!(found, eq(case.expected), "{}", case.name);
+    }
+}
+
+/// Where the effect of a refused write is found.
+struct RefusedCase {
+    name: &'static str,
+    is_single: bool,
+    other_log: &'static [&'static str],
+    has_run: bool,
+    expected: Option<FindingKind>,
+}
+
+/// Guards against a soak that looks for refused writes in the log of the last primary
+/// only, which replaces those of superseded ones.
+#[gtest]
+fn check_finds_refused_writes_beside_the_last_log() {
+    let cases = [
+        RefusedCase {
+            name: "nowhere",
+            is_single: true,
+            other_log: &[],
+            has_run: false,
+            expected: None,
+        },
+        RefusedCase {
+            name: "in the log of another member",
+            is_single: false,
+            other_log: &["1"],
+            has_run: false,
+            expected: Some(FindingKind::RefusedWriteKept),
+        },
+        RefusedCase {
+            name: "run by a member, outside of a transaction",
+            is_single: true,
+            other_log: &[],
+            has_run: true,
+            expected: Some(FindingKind::RefusedWriteKept),
+        },
+        RefusedCase {
+            name: "run by a member, in a transaction without a commit",
+            is_single: false,
+            other_log: &[],
+            has_run: true,
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut record = CallerRecord::default();
+        write(&mut record, 1, WriteOutcome::Refused, false);
+        record.writes[0].is_single = case.is_single;
+        let sent = SentStatement {
+            kind: "WRITE".to_owned(),
+            shape: None,
+            arguments: "i3 1".to_owned(),
+        };
+        let ran = RanStatement {
+            id: "q1".to_owned(),
+            kind: sent.kind.clone(),
+            shape: None,
+            arguments: sent.arguments.clone(),
+        };
+        record.sent.insert("q1".to_owned(), sent);
+        record.check(&MemberEvidence {
+            other_logs: vec![texts(case.other_log)],
+            ran: if case.has_run { vec![ran] } else { vec![] },
+            ..MemberEvidence::default()
+        });
         let found = record.findings.first().map(|finding| finding.kind);
         expect_that!(found, eq(case.expected), "{}", case.name);
     }
