soak: findings name the item to which a row was written

A row of another item was reported as written by nobody. Its write is known, and its number leads to the statement whose answer was mixed up.

--- a/crates/soak/src/sessions.rs
+++ b/crates/soak/src/sessions.rs
@@ -406,8 +406,12 @@
         let seen = match key {
             None if data.is_empty() => 0,
             Some(key) if key.item == item => key.number,
-            _ => {
-                let detail = format!("row {} of i{item}, which nobody wrote", excerpt(data));
+            other => {
+                let row = excerpt(data);
+                let detail = match other {
+                    Some(key) => format!("row {row} of i{item}, which was written to {key:?}"),
+                    None => format!("row {row} of i{item}, which nobody wrote"),
+                };
                 self.add_finding(FindingKind::MixedAnswer, &detail);
                 return;
             }
