soak: judge session values by answers to the caller's own statement only

The value in an answer with another statement's signature was reported as PINNED beside MIXED. It is the row of that statement and says nothing about the session.

--- a/crates/soak/src/sessions.rs
+++ b/crates/soak/src/sessions.rs
@@ -114,6 +114,11 @@
             .with_record(|record| record.add_finding(kind, detail));
     }
 
+    /// Returns the line that ends the success of the last statement.
+    fn own_signature(&self) -> String {
+        format!("COMPLETE mac-{}", self.caller.last_id())
+    }
+
     /// Sends a text and returns the lines of its answer, or `None` if the answer is
     /// missing or incomplete.
     async fn exchange(&mut self, text: &str) -> Option<Vec<String>> {
@@ -139,8 +144,7 @@
             self.is_closed = true;
             return None;
         }
-        let own = format!("COMPLETE mac-{}", self.caller.last_id());
-        if answer.len() != 2 || first != "COMPLETE -" && *first != own {
+        if answer.len() != 2 || first != "COMPLETE -" && *first != self.own_signature() {
             let detail = format!("{} was answered {answer:?}", excerpt(text));
             self.add_finding(FindingKind::MixedAnswer, &excerpt(&detail));
         }
@@ -185,7 +189,7 @@
     }
 
     fn check_success(&self, answer: &[String], rows: usize) {
-        let expected = format!("COMPLETE mac-{}", self.caller.last_id());
+        let expected = self.own_signature();
         let signature = answer.iter().find(|line| line.starts_with("COMPLETE"));
         if signature != Some(&expected) {
             let detail = format!(
@@ -224,7 +228,10 @@
         let Some(answer) = self.exchange_statement("READ", None, &item, 1).await else {
             return false;
         };
-        if let Some(seen) = answer[0].strip_prefix("ROW ") {
+        // The row of an answer to another statement says nothing about the session, and
+        // the answer is a finding already.
+        let is_own = answer.contains(&self.own_signature());
+        if let Some(seen) = answer[0].strip_prefix("ROW ").filter(|_| is_own) {
             let expected = self.values.get(name).map_or("", String::as_str);
             if seen != expected {
                 let (seen, expected) = (excerpt(seen), excerpt(expected));
