--- a/crates/protocol/src/statement.rs
+++ b/crates/protocol/src/statement.rs
@@ -172,7 +172,7 @@
 }
 
 /// Part of a caller's statement that is forwarded to a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ForwardBody<'a> {
     /// The caller's text.
     Text(&'a str),
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -233,6 +233,11 @@
         self.lock().group.repeat = repeat;
     }
 
+    /// Makes each signature differ, also between statements with one id.
+    pub fn sign_runs(&self) {
+        self.lock().group.signs_runs = true;
+    }
+
     /// Makes members refuse the next `count` statements of callers as busy, without running
     /// them.
     pub fn refuse_as_busy(&self, count: u32) {
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -228,6 +228,10 @@
     /// Time from the effect of a write to its answer.
     pub(super) write_delay: Duration,
     pub(super) repeat: Option<AnswerRepeat>,
+    /// Whether a signature also names the run, so that statements with one id differ.
+    pub(super) signs_runs: bool,
+    /// Number of the callers' statements that ran.
+    runs: u64,
     /// Number of the callers' next statements that are refused as busy.
     pub(super) busy_left: u32,
     /// Index of the member that was promoted last.
@@ -467,6 +471,10 @@
         let ready = format!("READY {state} {}\r\n", member.position());
         match result {
             Ok(rows) if id == OWN_ID => format!("{rows}COMPLETE -\r\n{ready}"),
+            Ok(rows) if group.signs_runs => {
+                group.runs += 1;
+                format!("{rows}COMPLETE mac-{id}-{}\r\n{ready}", group.runs)
+            }
             Ok(rows) => format!("{rows}COMPLETE mac-{id}\r\n{ready}"),
             Err(code) => format!("ERROR {code} {}\r\n{ready}", member.id),
         }
--- a/crates/transport/src/managed/answer_record.rs
+++ b/crates/transport/src/managed/answer_record.rs
@@ -3,12 +3,12 @@
 //! An answer names no statement, and a member may send one a second time at any later
 //! time. Only a signature identifies a caller's statement.
 
-use std::collections::hash_map::{Entry, RandomState};
-use std::collections::{HashMap, HashSet};
+use std::collections::hash_map::RandomState;
+use std::collections::HashSet;
 use std::hash::BuildHasher;
 
 use bytes::Bytes;
-use protocol::statement::{MemberStatement, TransactionState};
+use protocol::statement::{ForwardBody, MemberStatement, TransactionState};
 use state::log::LogPosition;
 
 /// Result of comparing an answer with its statement. The error says why the answer cannot
@@ -18,10 +18,8 @@
 /// What the answer to a statement must be like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AwaitedAnswer {
-    /// The answer to a statement of a caller, with the hashes of its id and its body.
+    /// The answer to a statement of a caller.
     Signed {
-        id: u64,
-        body: u64,
         /// Whether the statement ends the transaction.
         is_end: bool,
     },
@@ -46,13 +44,13 @@
 ///
 /// # Invariants
 ///
-/// `signatures` holds the statement of every signature that was delivered, and `own` every
-/// answer without one. `is_aligned` is set while no answer was delivered that may have
+/// `signatures` holds the hash of every signature that was delivered, and `own` that of every
+/// answer without one: a second answer has the same bytes as the first. `is_aligned` is set while no answer was delivered that may have
 /// been a second one of an earlier statement.
 #[derive(Debug)]
 pub(super) struct AnswerRecord {
     hasher: RandomState,
-    signatures: HashMap<u64, (u64, u64)>,
+    signatures: HashSet<u64>,
     own: HashSet<u64>,
     has_refusal: bool,
     is_aligned: bool,
@@ -62,7 +60,7 @@
     pub(super) fn new() -> Self {
         Self {
             hasher: RandomState::new(),
-            signatures: HashMap::new(),
+            signatures: HashSet::new(),
             own: HashSet::new(),
             has_refusal: false,
             is_aligned: true,
@@ -70,12 +68,10 @@
     }
 
     /// Returns what the answer to a statement must be like.
-    pub(super) fn expect(&self, statement: &MemberStatement<'_>) -> AwaitedAnswer {
+    pub(super) fn expect(statement: &MemberStatement<'_>) -> AwaitedAnswer {
         match statement {
-            MemberStatement::Forward { id, body, .. } => AwaitedAnswer::Signed {
-                id: self.hasher.hash_one(id),
-                body: self.hasher.hash_one(body),
-                is_end: *body == protocol::statement::ForwardBody::Commit,
+            MemberStatement::Forward { body, .. } => AwaitedAnswer::Signed {
+                is_end: *body == ForwardBody::Commit,
             },
             MemberStatement::Begin { .. } => AwaitedAnswer::Own {
                 state: Some(TransactionState::Open),
@@ -122,8 +118,8 @@
             return Err("a success that leads to another transaction state");
         }
         match (awaited, signature) {
-            (AwaitedAnswer::Signed { id, body, .. }, Some(signature)) => {
-                self.admit_signature(signature, id, body).map(|()| true)
+            (AwaitedAnswer::Signed { .. }, Some(signature)) => {
+                self.admit_signature(signature).map(|()| true)
             }
             (AwaitedAnswer::Signed { .. }, None) => Err("a success without a signature"),
             (_, Some(_)) => Err("a signature for a statement of this host"),
@@ -143,17 +139,11 @@
         Ok(())
     }
 
-    fn admit_signature(&mut self, signature: &Bytes, id: u64, body: u64) -> Result<()> {
-        match self.signatures.entry(self.hasher.hash_one(signature)) {
-            Entry::Vacant(entry) => {
-                entry.insert((id, body));
-            }
-            // The same statement may run twice, but its first run may also have been
-            // answered twice.
-            Entry::Occupied(entry) if entry.get().0 != id || entry.get().1 == body => {
-                return Err("a signature that was delivered before");
-            }
-            Entry::Occupied(_) => {}
+    /// Admits a signature that was not delivered before. Also a caller that gives several
+    /// statements one id gets another signature for each.
+    fn admit_signature(&mut self, signature: &Bytes) -> Result<()> {
+        if !self.signatures.insert(self.hasher.hash_one(signature)) {
+            return Err("a signature that was delivered before");
         }
         self.is_aligned = true;
         Ok(())
--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -372,7 +372,7 @@
             since: request.since,
             body,
         };
-        self.awaited.push_back(self.record.expect(&statement));
+        self.awaited.push_back(AnswerRecord::expect(&statement));
         K::put_statement(&mut self.output, &statement);
         self.send(deadline).await?;
         let answer = self.answer(deadline).await?;
@@ -399,7 +399,7 @@
 
     fn enqueue(&mut self, statement: &MemberStatement<'_>) {
         K::put_statement(&mut self.output, statement);
-        self.awaited.push_back(self.record.expect(statement));
+        self.awaited.push_back(AnswerRecord::expect(statement));
     }
 
     /// Fails if bytes have arrived that no statement waits for: a second answer to an
