--- a/crates/protocol/src/forward.rs
+++ b/crates/protocol/src/forward.rs
@@ -10,7 +10,7 @@
 use crate::statement::{MemberRefusal, PreparedShape, TransactionState};
 
 /// Version of the forwarding messages.
-pub const FORWARD_VERSION: u32 = 1;
+pub const FORWARD_VERSION: u32 = 2;
 
 /// The transaction that a forwarded statement begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/transport/src/managed/answer_record.rs
+++ b/crates/transport/src/managed/answer_record.rs
@@ -22,6 +22,9 @@
     Signed {
         /// Whether the statement ends the transaction.
         is_end: bool,
+        /// Whether a refusal that belongs to another statement does no harm: a read outside
+        /// of a transaction may be repeated, and its connection is closed.
+        is_repeatable: bool,
     },
     /// The answer to a statement of this host. The state is the one after a success;
     /// `None` if the statement does not change it.
@@ -30,6 +33,29 @@
     Status,
 }
 
+impl AwaitedAnswer {
+    /// Returns what the answer must be like if the statement is a read outside of a
+    /// transaction.
+    pub(super) fn of_repeatable(self) -> Self {
+        match self {
+            Self::Signed { is_end, .. } => Self::Signed {
+                is_end,
+                is_repeatable: true,
+            },
+            other => other,
+        }
+    }
+
+    /// Returns whether the member may refuse the statement of this host: BEGIN depends on
+    /// its role and log, and a status question needs a slot.
+    fn may_be_refused(self) -> bool {
+        match self {
+            Self::Own { state } => state == Some(TransactionState::Open),
+            Self::Signed { .. } | Self::Status => true,
+        }
+    }
+}
+
 /// A complete answer.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReceivedAnswer<'a> {
@@ -72,6 +98,7 @@
         match statement {
             MemberStatement::Forward { body, .. } => AwaitedAnswer::Signed {
                 is_end: *body == ForwardBody::Commit,
+                is_repeatable: false,
             },
             MemberStatement::Begin { .. } => AwaitedAnswer::Own {
                 state: Some(TransactionState::Open),
@@ -132,7 +159,11 @@
             return Err("a second refusal on the connection");
         }
         // A refusal of a statement of this host is no statement about one of a caller.
-        if !self.is_aligned && matches!(awaited, AwaitedAnswer::Signed { .. }) {
+        let is_certain = match awaited {
+            AwaitedAnswer::Signed { is_repeatable, .. } => self.is_aligned || is_repeatable,
+            AwaitedAnswer::Own { .. } | AwaitedAnswer::Status => true,
+        };
+        if !is_certain {
             return Err("a refusal that may belong to an earlier statement");
         }
         self.has_refusal = true;
@@ -157,7 +188,9 @@
         }
         let content = (answer.rows, answer.state as u8, answer.position);
         let is_first = self.own.insert(self.hasher.hash_one(content));
-        self.is_aligned &= is_first;
+        // The answers to other statements of this host need no slot and no role, so that
+        // none of them is a refusal that is still on its way.
+        self.is_aligned &= is_first || !awaited.may_be_refused();
         Ok(is_first)
     }
 }
--- a/crates/transport/src/managed/hop/server.rs
+++ b/crates/transport/src/managed/hop/server.rs
@@ -224,6 +224,8 @@
             id: &request.id,
             since: request.since,
             body,
+            // The request does not say whether a text only reads.
+            is_repeatable: false,
         };
         let sent_at = group.send_instant();
         let answer = link.run(&statement, deadline).await.map_err(|error| {
--- a/crates/transport/src/managed/member_connection.rs
+++ b/crates/transport/src/managed/member_connection.rs
@@ -33,7 +33,7 @@
 /// slot of the member; after a loss of many hosts, all others open connections at once.
 const ATTEMPTS_MAX: usize = 2;
 /// Answers after which a connection is replaced. Its record must hold all of them, since a
-/// second answer may come at any time; the record then takes about 100 KiB. Another
+/// second answer may come at any time; the hashes of so many take less than 64 KiB. Another
 /// connection costs 12 ms of a slot.
 const ANSWERS_MAX: u64 = 2_048;
 /// Number of the connection that was opened last.
@@ -372,7 +372,11 @@
             since: request.since,
             body,
         };
-        self.awaited.push_back(AnswerRecord::expect(&statement));
+        let awaited = AnswerRecord::expect(&statement);
+        self.awaited.push_back(match request.is_repeatable {
+            true => awaited.of_repeatable(),
+            false => awaited,
+        });
         K::put_statement(&mut self.output, &statement);
         self.send(deadline).await?;
         let answer = self.answer(deadline).await?;
@@ -503,7 +507,8 @@
             connection,
             ordinal,
         } = self.origin;
-        log::warn!(
+        // Bounded, unlike warnings: every refusal of an overloaded member may lead here.
+        log::info!(
             member = self.member.as_str(), connection, ordinal, reason;
             "answer of a member not attributed"
         );
@@ -555,7 +560,7 @@
                 ordinal,
             } = self.origin;
             let member = self.member.as_str();
-            log::warn!(member, connection, ordinal; "surplus bytes of a member");
+            log::info!(member, connection, ordinal; "surplus bytes of a member");
         }
         state
     }
--- a/crates/transport/src/managed/statement.rs
+++ b/crates/transport/src/managed/statement.rs
@@ -487,14 +487,13 @@
         let since = since.filter(|_| self.request.start.is_none());
         let sent_at = self.group.send_instant();
         let deadline = self.attempt_deadline(sent_at.socket_time);
-        let asked = ask(
-            connection,
-            self.request.id,
+        let request = MemberRequest {
+            id: self.request.id,
             since,
-            self.request.body,
-            deadline,
-        )
-        .await;
+            body: self.request.body,
+            is_repeatable: self.request.is_single_read(),
+        };
+        let asked = connection.run(&request, deadline).await;
         let answer =
             asked.map_err(|error| self.handle_error(member, since, &error, sent_at, tried))?;
         self.group.record_answer(member, &answer, sent_at.boot_time);
@@ -692,18 +691,6 @@
     format!("retry in {} ms", delay.as_millis())
 }
 
-/// Sends a caller's statement on a connection and waits for its answer.
-pub(super) async fn ask<K: StatementCodec>(
-    connection: &mut MemberLink<K>,
-    id: &str,
-    since: Option<LogPosition>,
-    body: StatementBody<'_>,
-    deadline: Instant,
-) -> super::member_connection::Result<MemberAnswer> {
-    let request = MemberRequest { id, since, body };
-    connection.run(&request, deadline).await
-}
-
 /// Logs which member answered a statement, and where the answer was read.
 pub(super) fn log_placed<K: StatementCodec, C: MonotonicClock>(
     id: &str,
--- a/crates/transport/src/managed/statement_request.rs
+++ b/crates/transport/src/managed/statement_request.rs
@@ -84,6 +84,8 @@
     /// Position that the member's log must contain, if any.
     pub(super) since: Option<LogPosition>,
     pub(super) body: StatementBody<'a>,
+    /// Whether the statement is a read outside of a transaction.
+    pub(super) is_repeatable: bool,
 }
 
 /// The transaction that a statement begins.
@@ -121,6 +123,11 @@
         }
     }
 
+    /// Returns whether the statement is a read outside of a transaction.
+    pub(super) fn is_single_read(&self) -> bool {
+        self.access == StatementAccess::Read && self.start.is_none()
+    }
+
     pub(super) fn needs_primary(&self) -> bool {
         match self.start {
             Some(start) => !start.read_only,
--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -18,11 +18,10 @@
 use super::group_runtime::GroupRuntime;
 use super::hop::MemberLink;
 use super::member_connection::{ConnectionSetup, MemberAnswer};
-use super::statement::{
-    ask, log_placed, outcome_label, MemberCount, MemberCounter, StatementRunner,
-};
+use super::statement::{log_placed, outcome_label, MemberCount, MemberCounter, StatementRunner};
 use super::statement_request::{
-    fail, Result, StatementBody, StatementFailure, StatementRequest, TransactionStart,
+    fail, MemberRequest, Result, StatementBody, StatementFailure, StatementRequest,
+    TransactionStart,
 };
 use crate::pool::PooledConnection;
 
@@ -197,7 +196,7 @@
         let _in_flight = MemberCount::enter(&self.group, member, MemberCounter::InFlight);
         loop {
             let sent_at = self.group.send_instant();
-            let asked = ask(&mut connection, id, None, StatementBody::Commit, deadline).await;
+            let asked = ask(&mut connection, id, StatementBody::Commit, deadline).await;
             let answer = asked.map_err(|error| {
                 self.group.record_failure(member, &error, sent_at);
                 if error.is_before_statement() {
@@ -275,6 +274,22 @@
     }
 }
 
+/// Sends a later statement of the transaction and waits for its answer.
+async fn ask<K: StatementCodec>(
+    connection: &mut MemberLink<K>,
+    id: &str,
+    body: StatementBody<'_>,
+    deadline: Instant,
+) -> super::member_connection::Result<MemberAnswer> {
+    let request = MemberRequest {
+        id,
+        since: None,
+        body,
+        is_repeatable: false,
+    };
+    connection.run(&request, deadline).await
+}
+
 /// Sends a statement, and repeats it if the member refuses it as busy. A second refusal on
 /// the connection may be a second answer, so that the statement may have run.
 async fn ask_while_busy<K: StatementCodec>(
@@ -284,7 +299,7 @@
     deadline: Instant,
 ) -> Result<MemberAnswer> {
     loop {
-        let answer = match ask(connection, id, None, body, deadline).await {
+        let answer = match ask(connection, id, body, deadline).await {
             Ok(answer) => answer,
             Err(error) => return fail(ResultCode::TransactionLost, &error.to_string()),
         };
