logging: write the queued lines before the process ends

A thread writes the log's queue, and main returned without waiting for it, so that the line that says why a process ends could be lost.

The log is now flushed when the daemon's run ends, within 1 s at most.

--- a/crates/cassiad/src/main.rs
+++ b/crates/cassiad/src/main.rs
@@ -69,7 +69,10 @@
         eprintln!("cannot start logging: {error:?}");
         return ExitCode::FAILURE;
     }
-    run(settings, &arguments.settings)
+    let code = run(settings, &arguments.settings);
+    // The last lines say why the process ends.
+    log::logger().flush();
+    code
 }
 
 /// Runs the daemon for groups that the intent document lists. The first SIGTERM
--- a/crates/transport/src/logging/queue.rs
+++ b/crates/transport/src/logging/queue.rs
@@ -18,6 +18,10 @@
 /// Largest number of lines of level info and below per second. A host with half
 /// a core serves about 200 statements a second, each with up to two lines.
 const LINES_PER_S: u32 = 600;
+/// Longest wait for the queued lines when the process ends. It is shorter than the time
+/// that the platform gives a process after SIGTERM, 6 s, and only a reader of the output
+/// that has stopped makes the wait this long.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Number of lines that were dropped since the process started.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
@@ -28,11 +32,20 @@
     DROPPED_LINES.load(Ordering::Relaxed)
 }
 
+/// An entry of the queue.
+#[derive(Debug)]
+enum QueueEntry {
+    /// An encoded line.
+    Line(Vec<u8>),
+    /// Asks for a message once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Encodes log lines and queues them for the writing thread.
 #[derive(Debug)]
 pub(super) struct QueueAppender {
     encoder: JsonEncoder,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<QueueEntry>,
     budget: Mutex<LineBudget>,
 }
 
@@ -67,28 +80,43 @@
         }
         let mut line = SimpleWriter(Vec::with_capacity(512));
         self.encoder.encode(&mut line, record)?;
-        if self.lines.try_send(line.0).is_err() {
+        if self.lines.try_send(QueueEntry::Line(line.0)).is_err() {
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (written, done) = sync_channel(1);
+        if self.lines.try_send(QueueEntry::Flush(written)).is_ok() {
+            // After the timeout the lines are lost with the process.
+            let _written = done.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
 /// Writes the queued lines until the process ends. All lines that wait are
 /// written with one call where possible.
-fn write_lines(queue: &Receiver<Vec<u8>>) {
+fn write_lines(queue: &Receiver<QueueEntry>) {
     let mut output = std::io::stdout();
-    while let Ok(mut lines) = queue.recv() {
-        while let Ok(line) = queue.try_recv() {
-            lines.extend_from_slice(&line);
+    while let Ok(first) = queue.recv() {
+        let mut lines = Vec::new();
+        let mut flushed = Vec::new();
+        for entry in std::iter::once(first).chain(queue.try_iter()) {
+            match entry {
+                QueueEntry::Line(line) => lines.extend_from_slice(&line),
+                QueueEntry::Flush(written) => flushed.push(written),
+            }
         }
         // The error cannot be logged, since this is the log's only output.
         let written = output.write_all(&lines).and_then(|()| output.flush());
         if written.is_err() {
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
+        for written in flushed {
+            // The process may have stopped waiting.
+            let _sent = written.try_send(());
+        }
     }
 }
 
