--- a/crates/transport/src/managed/answer_record.rs
+++ b/crates/transport/src/managed/answer_record.rs
@@ -71,8 +71,8 @@
 /// # Invariants
 ///
 /// `signatures` holds the hash of every signature that was delivered, and `own` that of every
-/// answer without one: a second answer has the same bytes as the first. `is_aligned` is set while no answer was delivered that may have
-/// been a second one of an earlier statement.
+/// answer without one: a second answer has the same bytes as the first. `is_aligned` is set
+/// while no answer was delivered that may have been a second one and in the place of a refusal.
 #[derive(Debug)]
 pub(super) struct AnswerRecord {
     hasher: RandomState,
