--- /dev/null
+++ b/review/standin-2/world.rs
@@ -0,0 +1,1041 @@
+//! A small site on loopback for the scripts of the second review: the platform's store and
+//! promotion call, the members of one service, and clients. Only the standard library is used.
+//!
+//! The members follow PROTOCOL.md: a statement occupies a slot while it runs, statements wait in
+//! a short queue, STATUS is answered with BUSY while no slot is free, a commit is acknowledged
+//! once `syncReplicas` replicas have received it, a promoted member leads with what it had
+//! received, and replicas that were ahead are rolled back.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const SERVICE: &str = "birds-db";
+/// Statements that wait for a slot of a member, as in the site file (`queue`).
+const QUEUE: usize = 24;
+/// Time from the call to the effect of a promotion (`promote_ms`).
+const PROMOTE: Duration = Duration::from_millis(600);
+/// Interval of the members' heartbeats (`heartbeatMs`).
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+pub fn pause(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// One commit in a member's log: the ids of its writes.
+#[derive(Clone, PartialEq)]
+pub struct Entry {
+    pub term: u64,
+    pub writes: Vec<(String, String, String)>,
+}
+
+pub struct Member {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub alive: bool,
+    pub leads: bool,
+    pub term: u64,
+    pub log: Vec<Entry>,
+    /// Receives nothing.
+    pub deaf: bool,
+    pub draining: bool,
+    pub sequence: u64,
+    pub born: u64,
+    pub slots: usize,
+    pub running: usize,
+    pub waiting: usize,
+    pub superseded_at: Option<Instant>,
+}
+
+impl Member {
+    pub fn position(&self) -> String {
+        match self.log.last() {
+            Some(entry) => format!("{}.{}", entry.term, self.log.len()),
+            None => "-".to_owned(),
+        }
+    }
+
+    fn holds(&self, position: &str) -> bool {
+        let Some((term, number)) = position.split_once('.') else {
+            return position == "-";
+        };
+        let (Ok(term), Ok(number)) = (term.parse::<u64>(), number.parse::<usize>()) else {
+            return false;
+        };
+        number > 0 && self.log.get(number - 1).is_some_and(|entry| entry.term == term)
+    }
+}
+
+/// A promotion and the log of the promoted member when it took effect.
+pub struct Promotion {
+    pub member: String,
+    pub at_ms: u64,
+    pub log: Vec<Entry>,
+}
+
+/// A statement that a member ran, with the session values of its connection.
+pub struct Ran {
+    pub member: String,
+    pub at_ms: u64,
+    pub id: String,
+    pub text: String,
+    pub values: BTreeMap<String, String>,
+}
+
+pub struct Row {
+    pub version: u64,
+    pub value: Option<Vec<u8>>,
+}
+
+pub struct State {
+    pub rows: BTreeMap<(String, String), Row>,
+    pub version: u64,
+    pub members: Vec<Member>,
+    pub newest: usize,
+    pub sync: usize,
+    pub promotions: Vec<Promotion>,
+    pub ran: Vec<Ran>,
+    record: File,
+}
+
+#[derive(Clone)]
+pub struct World {
+    pub state: Arc<Mutex<State>>,
+    pub started: Instant,
+    pub store: SocketAddr,
+    folder: PathBuf,
+    /// Mean work of a read in milliseconds (`work_ms`).
+    pub work_ms: u64,
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port")
+}
+
+/// Returns a free address for a daemon. Each daemon has a loopback address of its own, whose ports
+/// no outgoing connection uses.
+fn free_address(daemon: u64) -> SocketAddr {
+    let process = std::process::id();
+    let ip = Ipv4Addr::new(127, 64 + (process % 64) as u8, (process / 64 % 250) as u8, daemon as u8);
+    TcpListener::bind((ip, 0)).expect("a free port").local_addr().expect("an address")
+}
+
+impl World {
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub fn note(&self, text: &str) {
+        let line = format!("{:8} ms  {text}\n", self.now_ms());
+        let mut state = self.state.lock().unwrap();
+        let _ = state.record.write_all(line.as_bytes());
+    }
+
+    /// Starts the store and three members with `slots` slots each. The first one leads.
+    pub fn start(record: &str, sync: usize, slots: usize, work_ms: u64) -> Self {
+        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let listener = listen();
+        let world = Self {
+            store: listener.local_addr().unwrap(),
+            started: Instant::now(),
+            folder,
+            work_ms,
+            state: Arc::new(Mutex::new(State {
+                rows: BTreeMap::new(),
+                version: 0,
+                members: Vec::new(),
+                newest: 0,
+                sync,
+                promotions: Vec::new(),
+                ran: Vec::new(),
+                record: File::create(record).expect("record.txt"),
+            })),
+        };
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        for (index, zone) in ["na-a", "cp-a", "wc-a"].iter().enumerate() {
+            let socket = listen();
+            world.state.lock().unwrap().members.push(Member {
+                id: format!("i-{:04x}", 0x51a0 + index * 0x111),
+                address: socket.local_addr().unwrap(),
+                zone: (*zone).to_owned(),
+                alive: true,
+                leads: index == 0,
+                term: 1,
+                log: Vec::new(),
+                deaf: false,
+                draining: false,
+                sequence: 1,
+                born,
+                slots,
+                running: 0,
+                waiting: 0,
+                superseded_at: None,
+            });
+            world.report(index);
+            let member = world.clone();
+            thread::spawn(move || member.serve_member(index, socket));
+        }
+        let server = world.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve_store(stream));
+            }
+        });
+        let beats = world.clone();
+        thread::spawn(move || loop {
+            thread::sleep(HEARTBEAT);
+            let count = beats.state.lock().unwrap().members.len();
+            (0..count).for_each(|index| beats.report(index));
+        });
+        let links = world.clone();
+        thread::spawn(move || loop {
+            pause(4);
+            links.replicate();
+        });
+        world
+    }
+
+    pub fn put(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        let place = (table.to_owned(), key.to_owned());
+        state.rows.insert(place, Row { version, value });
+    }
+
+    /// Writes the entry of a member that runs.
+    pub fn report(&self, index: usize) {
+        let (id, value) = {
+            let mut state = self.state.lock().unwrap();
+            let member = &mut state.members[index];
+            if !member.alive {
+                return;
+            }
+            member.sequence += 1;
+            let value = format!(
+                "{{\"service\":\"{SERVICE}\",\"endpoint\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+                 \"capacity\":{},\"state\":\"{}\",\"coldLeftMs\":0,\"dbRole\":\"{}\",\"sequence\":{},\
+                 \"born\":{}}}",
+                member.address,
+                member.zone,
+                member.slots,
+                if member.draining { "draining" } else { "ready" },
+                if member.leads { "primary" } else { "replica" },
+                member.sequence,
+                member.born
+            );
+            (member.id.clone(), value)
+        };
+        self.put("servers", &id, Some(value.into_bytes()));
+    }
+
+    /// Writes the configuration: one route of each kind, named as its kind.
+    pub fn configure(&self, version: u64, connections: usize) {
+        let sync = self.state.lock().unwrap().sync;
+        let route = |name: &str, kind: &str, timeout: u64, extra: &str| {
+            format!(
+                "{{\"name\":\"r-{name}\",\"hostname\":\"{name}\",\"prefix\":\"/\",\"type\":\"{kind}\",\
+                 \"timeoutMs\":{timeout},\"targetLatencyMs\":800,\"priority\":1,\
+                 \"service\":\"{SERVICE}\",\"maxAttempts\":2{extra}}}"
+            )
+        };
+        let routes = [
+            route("current", "primary", 1000, ""),
+            route("bounded", "bounded_stale", 2000, ",\"maxStalenessMs\":1500"),
+            route("own", "read_your_writes", 1000, ",\"maxStalenessMs\":2500"),
+        ];
+        let text = format!(
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\",\
+             \"healthPath\":\"/health\",\"maxConns\":{connections},\"protocol\":\"h1\",\"tls\":false,\
+             \"syncReplicas\":{sync}}}],\"limits\":{{\"txIdleMs\":3000}}}}",
+            routes.join(",")
+        );
+        self.put("op", "config", Some(text.into_bytes()));
+    }
+
+    /// Starts a daemon with the command of the deploy file.
+    pub fn start_daemon(&self, name: &str, zone: &str) -> Daemon {
+        static DAEMONS: AtomicU64 = AtomicU64::new(0);
+        let number = DAEMONS.fetch_add(1, Ordering::Relaxed) % 250 + 1;
+        let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address(number)).collect();
+        let settings = format!(
+            "host = \"{name}\"\ndata_centre = \"{zone}\"\ncaller_address = \"{}\"\n\
+             readiness_address = \"{}\"\nmetrics_address = \"{}\"\nrelay_address = \"{}\"\n\
+             grace_s = 6\ndescriptor_limit = 8400\npromotion_address = \"{}\"\n[regions]\n\
+             na-a = \"north-atlantic\"\ncp-a = \"central-plains\"\nwc-a = \"west-coast\"\n\
+             [store]\naddress = \"{}\"\n",
+            addresses[0], addresses[1], addresses[2], addresses[3], self.store, self.store
+        );
+        let file = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&file, settings).expect("a settings file");
+        let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log file");
+        let child = Command::new("target/release/cassiad")
+            .args(["--managed", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .expect("target/release/cassiad starts");
+        Daemon { name: name.to_owned(), front: addresses[0], ready: addresses[1], child }
+    }
+
+    /// The machines of the Fernwake sheet.
+    pub fn start_daemons(&self) -> Vec<Daemon> {
+        let places = [("edge-na-a-1", "na-a"), ("edge-na-a-2", "na-a"), ("edge-cp-a-1", "cp-a"), ("edge-wc-a-1", "wc-a")];
+        let daemons: Vec<Daemon> =
+            places.iter().map(|(name, zone)| self.start_daemon(name, zone)).collect();
+        let deadline = Instant::now() + Duration::from_secs(20);
+        for daemon in &daemons {
+            while !daemon.is_ready() {
+                if Instant::now() > deadline {
+                    self.note(&format!("{} is not ready", daemon.name));
+                    drop(daemons);
+                    std::process::exit(2);
+                }
+                pause(50);
+            }
+        }
+        daemons
+    }
+
+    fn replicate(&self) {
+        let mut state = self.state.lock().unwrap();
+        let newest = state.newest;
+        let (log, term, reaches) = {
+            let source = &state.members[newest];
+            (source.log.clone(), source.term, source.alive && source.leads)
+        };
+        for (index, member) in state.members.iter_mut().enumerate() {
+            if index == newest || !member.alive || !reaches {
+                continue;
+            }
+            if member.leads {
+                let since = *member.superseded_at.get_or_insert_with(Instant::now);
+                if since.elapsed() < Duration::from_secs(1) {
+                    continue;
+                }
+                member.leads = false;
+            }
+            if !member.deaf {
+                member.log.clone_from(&log);
+                member.term = term;
+            }
+        }
+    }
+
+    /// Kills a member: its connections end and new ones are refused.
+    pub fn crash(&self, index: usize) {
+        self.state.lock().unwrap().members[index].alive = false;
+    }
+
+    fn is_alive(&self, index: usize) -> bool {
+        self.state.lock().unwrap().members[index].alive
+    }
+
+    fn serve_member(&self, index: usize, listener: TcpListener) {
+        listener.set_nonblocking(true).unwrap();
+        while self.is_alive(index) {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).unwrap();
+                    let world = self.clone();
+                    thread::spawn(move || world.serve_connection(index, stream));
+                }
+                Err(_) => pause(1),
+            }
+        }
+    }
+
+    fn serve_connection(&self, index: usize, stream: TcpStream) {
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        let mut output = stream.try_clone().unwrap();
+        let mut lines = Lines::new(stream);
+        let mut session = Session::default();
+        loop {
+            let line = match lines.next() {
+                Next::Line(line) => line,
+                Next::Wait if self.is_alive(index) => continue,
+                Next::Wait | Next::End => return,
+            };
+            let answer = self.answer(index, &mut session, &line);
+            if !self.is_alive(index) {
+                return;
+            }
+            let moved = answer.starts_with("ERROR MOVED");
+            if output.write_all(answer.as_bytes()).is_err() || moved {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, index: usize, session: &mut Session, line: &str) -> String {
+        let mut fields = line.splitn(3, ' ');
+        let (word, id, text) =
+            (fields.next().unwrap_or(""), fields.next().unwrap_or(""), fields.next().unwrap_or(""));
+        if word == "CONNECT" {
+            // A new connection occupies a slot for some time.
+            pause(12);
+            let state = self.state.lock().unwrap();
+            let member = &state.members[index];
+            let expected = text.split(' ').nth(1);
+            if id != SERVICE || expected.is_some_and(|expected| expected != member.id) {
+                return format!("ERROR MOVED {}\r\n", member.id);
+            }
+            return format!("READY I {}\r\n", member.position());
+        }
+        let result = self.run(index, session, id, text);
+        let state = self.state.lock().unwrap();
+        let member = &state.members[index];
+        let letter = match (&session.writes, session.failed) {
+            (Some(_), true) => "E",
+            (Some(_), false) => "T",
+            (None, _) => "I",
+        };
+        let ready = format!("READY {letter} {}\r\n", member.position());
+        match result {
+            Ok(rows) => {
+                let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
+                let mac = match id {
+                    "-" => "-".to_owned(),
+                    id => format!("mac.{id}.{}", next_number()),
+                };
+                format!("{rows}COMPLETE {mac}\r\n{ready}")
+            }
+            Err(code) => format!("ERROR {code} {}\r\n{ready}", member.id),
+        }
+    }
+
+    /// Occupies a slot for the work of a statement.
+    fn work(&self, index: usize) -> Result<(), &'static str> {
+        {
+            let mut state = self.state.lock().unwrap();
+            let member = &mut state.members[index];
+            if member.waiting >= QUEUE {
+                return Err("BUSY");
+            }
+            member.waiting += 1;
+        }
+        loop {
+            {
+                let mut state = self.state.lock().unwrap();
+                let member = &mut state.members[index];
+                if member.running < member.slots {
+                    member.running += 1;
+                    member.waiting -= 1;
+                    break;
+                }
+                if !member.alive {
+                    member.waiting -= 1;
+                    return Err("BUSY");
+                }
+            }
+            pause(1);
+        }
+        let jitter = next_number() % self.work_ms.max(1);
+        pause(self.work_ms / 2 + jitter);
+        self.state.lock().unwrap().members[index].running -= 1;
+        Ok(())
+    }
+
+    fn run(&self, index: usize, session: &mut Session, id: &str, text: &str) -> Result<Vec<String>, &'static str> {
+        let mut text = text;
+        if let Some(rest) = text.strip_prefix("SINCE ") {
+            let (position, rest) = rest.split_once(' ').ok_or("MALFORMED")?;
+            if !self.state.lock().unwrap().members[index].holds(position) {
+                return Err("LAGGING");
+            }
+            text = rest;
+        }
+        let sent = text.to_owned();
+        let resolved = match text.strip_prefix("EXECUTE ") {
+            Some(rest) => {
+                let (name, arguments) = rest.split_once(' ').ok_or("MALFORMED")?;
+                let kind = session.prepared.get(name).ok_or("NOSTMT")?;
+                format!("{kind} {arguments}")
+            }
+            None => sent.clone(),
+        };
+        let mut words = resolved.splitn(3, ' ');
+        let (word, item, data) =
+            (words.next().unwrap_or(""), words.next().unwrap_or(""), words.next().unwrap_or(""));
+        let leads = self.state.lock().unwrap().members[index].leads;
+        if matches!(word, "READ" | "WRITE" | "COMMIT") {
+            if word != "READ" && !leads && (word == "WRITE" || session.wrote()) {
+                session.failed = session.writes.is_some();
+                return Err("READONLY");
+            }
+            self.work(index)?;
+            let values = session.values.clone();
+            let at_ms = self.now_ms();
+            let mut state = self.state.lock().unwrap();
+            let member = state.members[index].id.clone();
+            state.ran.push(Ran { member, at_ms, id: id.to_owned(), text: sent, values });
+        }
+        match word {
+            "STATUS" | "STEPDOWN" => {
+                let mut state = self.state.lock().unwrap();
+                let member = &mut state.members[index];
+                if word == "STEPDOWN" {
+                    member.leads &= item.parse::<u64>().is_ok_and(|term| term <= member.term);
+                } else if member.running >= member.slots {
+                    return Err("BUSY");
+                }
+                let role = if member.leads { "primary" } else { "replica" };
+                return Ok(vec![format!("{role} {} {} {} 0 {} 1", member.term, member.position(), member.term, member.running)]);
+            }
+            "BEGIN" if item != "READ" && !leads => return Err("READONLY"),
+            "BEGIN" => session.writes = Some(Vec::new()),
+            "ROLLBACK" => {
+                session.writes = None;
+                session.failed = false;
+            }
+            "READ" => {
+                let state = self.state.lock().unwrap();
+                let writes = state.members[index].log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
+                let found = writes.into_iter().find(|(_, known, _)| known == item);
+                return Ok(vec![found.map_or(String::new(), |(_, _, data)| data.clone())]);
+            }
+            "WRITE" => {
+                let write = (id.to_owned(), item.to_owned(), data.to_owned());
+                match &mut session.writes {
+                    Some(writes) => writes.push(write),
+                    None => return self.append(index, vec![write]),
+                }
+            }
+            "COMMIT" => {
+                let writes = session.writes.take().unwrap_or_default();
+                if !writes.is_empty() {
+                    return self.append(index, writes);
+                }
+            }
+            "SET" => {
+                session.values.insert(item.to_owned(), data.to_owned());
+            }
+            "PREPARE" => {
+                let kind = data.split(' ').next().unwrap_or("").to_owned();
+                session.prepared.insert(item.to_owned(), kind);
+            }
+            "DEALLOC" => {
+                session.prepared.remove(item).ok_or("NOSTMT")?;
+            }
+            "RESET" => {
+                session.values.clear();
+                session.prepared.clear();
+            }
+            _ => return Err("MALFORMED"),
+        }
+        Ok(Vec::new())
+    }
+
+    /// Appends a commit and waits until `syncReplicas` replicas have received it.
+    fn append(&self, index: usize, writes: Vec<(String, String, String)>) -> Result<Vec<String>, &'static str> {
+        let (number, sync) = {
+            let mut state = self.state.lock().unwrap();
+            let sync = state.sync;
+            let member = &mut state.members[index];
+            if !member.leads || !member.alive {
+                return Err("READONLY");
+            }
+            let term = member.term;
+            member.log.push(Entry { term, writes });
+            (member.log.len(), sync)
+        };
+        loop {
+            {
+                let state = self.state.lock().unwrap();
+                let member = &state.members[index];
+                let others = state.members.iter().enumerate();
+                let received = others
+                    .filter(|(other, one)| *other != index && one.alive && one.log.len() >= number && one.term == member.term)
+                    .count();
+                // A crashed member answers nothing.
+                if received >= sync || !member.alive {
+                    return Ok(Vec::new());
+                }
+            }
+            pause(1);
+        }
+    }
+
+    fn promote(&self, id: &str) -> bool {
+        let found = {
+            let state = self.state.lock().unwrap();
+            let mut members = state.members.iter();
+            members.position(|member| member.id == id && member.alive)
+        };
+        let Some(index) = found else {
+            return false;
+        };
+        let world = self.clone();
+        thread::spawn(move || {
+            thread::sleep(PROMOTE);
+            let mut state = world.state.lock().unwrap();
+            if !state.members[index].alive || (state.newest == index && state.members[index].leads) {
+                return;
+            }
+            let term = state.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
+            let member = &mut state.members[index];
+            member.leads = true;
+            member.term = term;
+            member.superseded_at = None;
+            let promotion = Promotion {
+                member: member.id.clone(),
+                at_ms: world.now_ms(),
+                log: member.log.clone(),
+            };
+            state.newest = index;
+            let text = format!("{} leads term {term} with {} commits", promotion.member, promotion.log.len());
+            state.promotions.push(promotion);
+            drop(state);
+            world.report(index);
+            world.note(&text);
+        });
+        true
+    }
+
+    fn serve_store(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut output = stream.try_clone().unwrap();
+        let mut input = BufReader::new(stream);
+        loop {
+            let mut line = String::new();
+            if input.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            let mut words = line.split_whitespace();
+            let (method, target) = (words.next().unwrap_or("").to_owned(), words.next().unwrap_or("").to_owned());
+            let mut length = 0;
+            let mut headers = HashMap::new();
+            loop {
+                let mut header = String::new();
+                if input.read_line(&mut header).unwrap_or(0) == 0 {
+                    return;
+                }
+                let Some((name, value)) = header.trim_end().split_once(':') else {
+                    break;
+                };
+                let (name, value) = (name.to_ascii_lowercase(), value.trim().to_owned());
+                if name == "content-length" {
+                    length = value.parse().unwrap_or(0);
+                }
+                headers.insert(name, value);
+            }
+            let mut body = vec![0; length];
+            if input.read_exact(&mut body).is_err() {
+                return;
+            }
+            let (status, text) = self.call(&method, &target, &headers, &String::from_utf8_lossy(&body));
+            let answer = format!(
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                text.len()
+            );
+            if output.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn rows(&self, table: &str, after: u64) -> (Vec<String>, u64) {
+        let state = self.state.lock().unwrap();
+        let rows = state.rows.iter().filter(|((known, _), row)| known == table && row.version > after);
+        let mut rows: Vec<(u64, String)> = rows
+            .filter(|(_, row)| after > 0 || row.value.is_some())
+            .map(|((table, key), row)| (row.version, row_text(table, key, row)))
+            .collect();
+        if after > 0 {
+            rows.sort();
+        }
+        (rows.into_iter().map(|(_, text)| text).collect(), state.version)
+    }
+
+    fn call(&self, method: &str, target: &str, headers: &HashMap<String, String>, body: &str) -> (u16, String) {
+        // `txLatencyMs`.
+        pause(4);
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let table = query.get("table").copied().unwrap_or("");
+        let page = |rows: &[String], version: u64| {
+            let rows = rows.join(",");
+            format!("{{\"rows\":[{rows}],\"hasMore\":false,\"rowVersion\":{version},\"serverTimeMs\":{}}}", self.now_ms())
+        };
+        match (method, path) {
+            ("GET", "/v1/rows-get") => {
+                let (rows, version) = self.rows(table, 0);
+                (200, page(&rows, version))
+            }
+            ("GET", "/v1/rows-feed") => {
+                let after: u64 = query.get("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let wait: u64 = query.get("waitTimeoutMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let deadline = Instant::now() + Duration::from_millis(wait);
+                loop {
+                    let (rows, version) = self.rows(table, after.max(1));
+                    if !rows.is_empty() || Instant::now() >= deadline {
+                        return (200, page(&rows, version));
+                    }
+                    pause(10);
+                }
+            }
+            ("POST", "/v1/rows-tx") => self.transact(body),
+            ("POST", "/failover") => {
+                let order = Json::parse(body);
+                let id = order.get("id").text();
+                let done = self.promote(&id);
+                self.note(&format!(
+                    "failover to {id} by {} with token {}: {}",
+                    headers.get("lease-holder").map_or("", String::as_str),
+                    headers.get("fence-token").map_or("", String::as_str),
+                    if done { "200" } else { "409" }
+                ));
+                (if done { 200 } else { 409 }, "{}".to_owned())
+            }
+            _ => (404, "{}".to_owned()),
+        }
+    }
+
+    fn transact(&self, body: &str) -> (u16, String) {
+        let body = Json::parse(body);
+        let mut state = self.state.lock().unwrap();
+        let place = |entry: &Json| (entry.get("table").text(), entry.get("key").text());
+        let holds = body.get("expected").list().iter().all(|entry| {
+            let row = state.rows.get(&place(entry)).filter(|row| row.value.is_some());
+            row.map_or(0, |row| row.version) == entry.get("rowVersion").number()
+        });
+        let now = self.now_ms();
+        if !holds {
+            let expected = body.get("expected");
+            let rows: Vec<String> = expected.list().iter().filter_map(|entry| {
+                let (table, key) = place(entry);
+                let row = state.rows.get(&(table.clone(), key.clone()))?;
+                row.value.is_some().then(|| row_text(&table, &key, row))
+            }).collect();
+            return (412, format!("{{\"rows\":[{}],\"rowVersion\":{},\"serverTimeMs\":{now}}}", rows.join(","), state.version));
+        }
+        state.version += 1;
+        let version = state.version;
+        for entry in body.get("puts").list() {
+            let value = Some(decode(&entry.get("value").text()));
+            state.rows.insert(place(entry), Row { version, value });
+        }
+        for entry in body.get("remove").list() {
+            state.rows.insert(place(entry), Row { version, value: None });
+        }
+        (200, format!("{{\"rowVersion\":{version},\"serverTimeMs\":{now}}}"))
+    }
+
+    /// Ends the daemons, and records what the members ran.
+    pub fn finish(&self, daemons: Vec<Daemon>) {
+        drop(daemons);
+        let mut state = self.state.lock().unwrap();
+        let (ran, reads): (Vec<&Ran>, Vec<&Ran>) = state.ran.iter().partition(|ran| !ran.text.starts_with("READ"));
+        let mut text = format!("members ran {} reads and these statements:\n", reads.len());
+        for Ran { member, at_ms, id, text: statement, values } in ran {
+            text += &format!("{at_ms:8} ms  {member} ran {id} {statement} with {values:?}\n");
+        }
+        let _ = state.record.write_all(text.as_bytes());
+        drop(state);
+        if std::env::var("KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn row_text(table: &str, key: &str, row: &Row) -> String {
+    let value = match &row.value {
+        Some(value) => format!("\"value\":\"{}\"", encode(value)),
+        None => "\"deleted\":true".to_owned(),
+    };
+    format!("{{\"table\":\"{table}\",\"part\":\"\",\"key\":\"{key}\",{value},\"rowVersion\":{}}}", row.version)
+}
+
+/// Returns a number that no earlier call returned.
+pub fn next_number() -> u64 {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    LAST.fetch_add(1, Ordering::Relaxed) + 1
+}
+
+#[derive(Default)]
+struct Session {
+    values: BTreeMap<String, String>,
+    prepared: HashMap<String, String>,
+    /// Writes of the open transaction.
+    writes: Option<Vec<(String, String, String)>>,
+    failed: bool,
+}
+
+impl Session {
+    fn wrote(&self) -> bool {
+        self.writes.as_ref().is_some_and(|writes| !writes.is_empty())
+    }
+}
+
+enum Next {
+    Line(String),
+    Wait,
+    End,
+}
+
+struct Lines {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Lines {
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, bytes: Vec::new() }
+    }
+
+    fn next(&mut self) -> Next {
+        loop {
+            if let Some(end) = self.bytes.windows(2).position(|pair| pair == b"\r\n") {
+                let line: Vec<u8> = self.bytes.drain(..end + 2).collect();
+                return Next::Line(String::from_utf8_lossy(&line[..end]).into_owned());
+            }
+            let mut buffer = [0; 16384];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return Next::End,
+                Ok(count) => self.bytes.extend_from_slice(&buffer[..count]),
+                Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => return Next::Wait,
+                Err(_) => return Next::End,
+            }
+        }
+    }
+}
+
+/// A daemon, which is killed when it is dropped.
+pub struct Daemon {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub child: Child,
+}
+
+impl Daemon {
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else {
+            return false;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+        let _ = stream.write_all(b"GET /v1/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        let mut buffer = [0; 12];
+        stream.read_exact(&mut buffer).is_ok() && buffer.ends_with(b"200")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a client received for a statement.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Done(Vec<String>),
+    Error(String),
+    /// The connection ended or nothing came.
+    Lost,
+}
+
+pub struct Client {
+    output: TcpStream,
+    lines: Lines,
+}
+
+impl Client {
+    pub fn connect(address: SocketAddr, database: &str) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
+        let mut client = Self { output: stream.try_clone().ok()?, lines: Lines::new(stream) };
+        client.output.write_all(format!("CONNECT {database} u{}\r\n", next_number()).as_bytes()).ok()?;
+        match client.lines.next() {
+            Next::Line(line) if line.starts_with("READY") => Some(client),
+            _ => None,
+        }
+    }
+
+    pub fn send(&mut self, id: &str, text: &str) -> Answer {
+        if self.output.write_all(format!("QUERY {id} {text}\r\n").as_bytes()).is_err() {
+            return Answer::Lost;
+        }
+        let mut rows = Vec::new();
+        let mut result = None;
+        loop {
+            let Next::Line(line) = self.lines.next() else {
+                return Answer::Lost;
+            };
+            let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
+            match word {
+                "ROW" => rows.push(rest.to_owned()),
+                "COMPLETE" => result = Some(Answer::Done(Vec::new())),
+                "ERROR" => result = Some(Answer::Error(rest.split(' ').next().unwrap_or("").to_owned())),
+                "READY" => {
+                    return match result {
+                        Some(Answer::Done(_)) => Answer::Done(rows),
+                        Some(other) => other,
+                        None => Answer::Lost,
+                    }
+                }
+                _ => return Answer::Lost,
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Json {
+    Null,
+    Number(f64),
+    Text(String),
+    List(Vec<Json>),
+    Object(Vec<(String, Json)>),
+}
+
+impl Json {
+    pub fn parse(text: &str) -> Self {
+        let mut bytes = text.as_bytes();
+        value(&mut bytes)
+    }
+
+    pub fn get(&self, name: &str) -> Json {
+        match self {
+            Self::Object(fields) => fields.iter().find(|(key, _)| key == name).map_or(Json::Null, |(_, value)| value.clone()),
+            _ => Json::Null,
+        }
+    }
+
+    pub fn text(&self) -> String {
+        match self {
+            Self::Text(text) => text.clone(),
+            _ => String::new(),
+        }
+    }
+
+    pub fn number(&self) -> u64 {
+        match self {
+            Self::Number(number) => *number as u64,
+            _ => 0,
+        }
+    }
+
+    pub fn list(&self) -> &[Json] {
+        match self {
+            Self::List(list) => list,
+            _ => &[],
+        }
+    }
+}
+
+fn skip(bytes: &mut &[u8]) {
+    while bytes.first().is_some_and(|byte| b" \t\r\n,:".contains(byte)) {
+        *bytes = &bytes[1..];
+    }
+}
+
+fn value(bytes: &mut &[u8]) -> Json {
+    skip(bytes);
+    match bytes.first() {
+        Some(b'{') => {
+            *bytes = &bytes[1..];
+            let mut fields = Vec::new();
+            loop {
+                skip(bytes);
+                match bytes.first() {
+                    Some(b'}') | None => {
+                        *bytes = bytes.get(1..).unwrap_or(&[]);
+                        return Json::Object(fields);
+                    }
+                    Some(_) => {
+                        let key = value(bytes).text();
+                        fields.push((key, value(bytes)));
+                    }
+                }
+            }
+        }
+        Some(b'[') => {
+            *bytes = &bytes[1..];
+            let mut list = Vec::new();
+            loop {
+                skip(bytes);
+                match bytes.first() {
+                    Some(b']') | None => {
+                        *bytes = bytes.get(1..).unwrap_or(&[]);
+                        return Json::List(list);
+                    }
+                    Some(_) => list.push(value(bytes)),
+                }
+            }
+        }
+        Some(b'"') => {
+            *bytes = &bytes[1..];
+            let mut text = Vec::new();
+            while let Some(byte) = bytes.first().copied() {
+                *bytes = &bytes[1..];
+                match byte {
+                    b'"' => break,
+                    b'\\' => {
+                        text.push(bytes.first().copied().unwrap_or(b'\\'));
+                        *bytes = bytes.get(1..).unwrap_or(&[]);
+                    }
+                    other => text.push(other),
+                }
+            }
+            Json::Text(String::from_utf8_lossy(&text).into_owned())
+        }
+        Some(_) => {
+            let end = bytes.iter().position(|byte| b",]} \r\n".contains(byte)).unwrap_or(bytes.len());
+            let word = String::from_utf8_lossy(&bytes[..end]).into_owned();
+            *bytes = &bytes[end.max(1).min(bytes.len())..];
+            word.parse().map_or(Json::Null, Json::Number)
+        }
+        None => Json::Null,
+    }
+}
+
+const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn encode(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let padded = [chunk[0], chunk.get(1).copied().unwrap_or(0), chunk.get(2).copied().unwrap_or(0)];
+        let number = u32::from(padded[0]) << 16 | u32::from(padded[1]) << 8 | u32::from(padded[2]);
+        for place in 0..4 {
+            match place <= chunk.len() {
+                true => text.push(ALPHABET[(number >> (18 - 6 * place)) as usize & 63] as char),
+                false => text.push('='),
+            }
+        }
+    }
+    text
+}
+
+fn decode(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut number, mut bits) = (0u32, 0);
+    for symbol in text.bytes() {
+        let Some(index) = ALPHABET.iter().position(|known| *known == symbol) else {
+            continue;
+        };
+        number = number << 6 | index as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits) as u8);
+            number &= (1 << bits) - 1;
+        }
+    }
+    bytes
+}
