--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,12 +11,16 @@
 
 use world::{next_number, pause, Answer, Client, World};
 
+/// Items that the case `stale` writes and reads.
+const ITEMS: usize = 4;
+
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let (name, record) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match name.as_str() {
         "lost" => lost(&record, trouble),
+        "stale" => stale(&record, trouble),
         "pinned" => pinned(&record, trouble),
         _ => 2,
     };
@@ -82,7 +86,7 @@
     }
     pause(2_500);
     if trouble {
-        world.note("i-53c2 receives nothing from now on");
+        world.note("the third member receives nothing from now on");
         world.state.lock().unwrap().members[2].deaf = true;
         pause(2_000);
         world.note("the primary crashes");
@@ -189,3 +193,121 @@
     };
     conclude(&world, "PINNED", result)
 }
+
+/// The primary is replaced by a new member while the store turns one machine away and the two
+/// replicas receive nothing. Callers of that machine read on the route `current`.
+fn stale(record: &str, trouble: bool) -> i32 {
+    let world = World::start(record, 0, 3, 8);
+    world.configure(1, 22);
+    let daemons = world.start_daemons();
+    let (writing, reading) = (daemons[0].front, daemons[3].front);
+    let stop = Arc::new(AtomicBool::new(false));
+    pause(4_000);
+    // For each item the numbers of its acknowledged writes.
+    let acknowledged: Arc<Mutex<[u64; ITEMS]>> = Arc::default();
+    let answered: Arc<Mutex<u64>> = Arc::default();
+    // Item of each read that lacks an acknowledged write, and the number of that write.
+    let behind: Arc<Mutex<Vec<(usize, u64)>>> = Arc::default();
+    let mut tasks = Vec::new();
+    for item in 0..ITEMS {
+        let (stop, acknowledged, world) = (stop.clone(), acknowledged.clone(), world.clone());
+        tasks.push(thread::spawn(move || {
+            let (mut client, mut number) = (None, 0);
+            while !stop.load(Ordering::Relaxed) {
+                let Some(open) = client.as_mut() else {
+                    client = Client::connect(writing, "current");
+                    pause(20);
+                    continue;
+                };
+                number += 1;
+                let id = format!("w{:x}", next_number());
+                let answer = open.send(&id, &format!("WRITE k{item} {number}"));
+                world.note(&format!("edge-na-a-1: {id} WRITE k{item} {number}: {answer:?}"));
+                match answer {
+                    Answer::Done(_) => acknowledged.lock().unwrap()[item] = number,
+                    Answer::Lost => client = None,
+                    Answer::Error(_) => {}
+                }
+                pause(15);
+            }
+        }));
+    }
+    for reader in 0..ITEMS {
+        let (stop, acknowledged, world) = (stop.clone(), acknowledged.clone(), world.clone());
+        let (answered, behind) = (answered.clone(), behind.clone());
+        let item = reader % ITEMS;
+        tasks.push(thread::spawn(move || {
+            let mut client = None;
+            while !stop.load(Ordering::Relaxed) {
+                let Some(open) = client.as_mut() else {
+                    client = Client::connect(reading, "current");
+                    pause(20);
+                    continue;
+                };
+                // The newest write that was acknowledged before the first byte of the read.
+                let known = acknowledged.lock().unwrap()[item];
+                let id = format!("r{:x}", next_number());
+                let answer = open.send(&id, &format!("READ k{item}"));
+                let mut text = format!("edge-wc-a-1: {id} READ k{item}: {answer:?}");
+                match answer {
+                    Answer::Done(rows) => {
+                        let seen: u64 = rows.first().and_then(|row| row.parse().ok()).unwrap_or(0);
+                        *answered.lock().unwrap() += 1;
+                        if seen < known {
+                            behind.lock().unwrap().push((item, known));
+                            text += &format!(" BEHIND: {known} was acknowledged before the read was sent");
+                        }
+                    }
+                    Answer::Lost => client = None,
+                    Answer::Error(_) => {}
+                }
+                world.note(&text);
+                pause(15);
+            }
+        }));
+    }
+    pause(2_000);
+    if trouble {
+        world.note("the store turns edge-wc-a-1 away; the replicas receive nothing");
+        let mut state = world.state.lock().unwrap();
+        state.turned_away.push("wc-a".to_owned());
+        state.members[1].deaf = true;
+        state.members[2].deaf = true;
+    }
+    pause(500);
+    let added = world.add_member("na-a", 3);
+    world.note("a new member starts, and the primary is about to stop");
+    pause(200);
+    world.drain(0);
+    pause(5_700);
+    {
+        let mut state = world.state.lock().unwrap();
+        state.members[1].deaf = false;
+        state.members[2].deaf = false;
+        state.turned_away.clear();
+    }
+    world.note("the replicas receive again, and the store serves edge-wc-a-1");
+    pause(1_500);
+    stop.store(true, Ordering::Relaxed);
+    tasks.into_iter().for_each(|task| task.join().unwrap());
+    world.finish(daemons);
+    let promoted = world.state.lock().unwrap().promotions.first().map(|one| one.member.clone());
+    let added = world.state.lock().unwrap().members[added].id.clone();
+    // Commits that a promote rolled back don't count.
+    let kept: HashSet<(String, String)> = {
+        let state = world.state.lock().unwrap();
+        let log = state.members[state.newest].log.iter();
+        log.flat_map(|entry| &entry.writes).map(|(_, item, data)| (item.clone(), data.clone())).collect()
+    };
+    let behind = behind.lock().unwrap();
+    let is_kept = |(item, known): &&(usize, u64)| kept.contains(&(format!("k{item}"), known.to_string()));
+    let stale = behind.iter().filter(is_kept).count();
+    let all = *answered.lock().unwrap();
+    let text = format!("{stale} of {all} reads were stale; promoted: {promoted:?}, the new member is {added}");
+    let result = match stale {
+        _ if promoted.is_none() => Err(text),
+        0 => Ok(text),
+        _ => broken(&text),
+    };
+    conclude(&world, "STALE", result)
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -6,7 +6,7 @@
 //! once `syncReplicas` replicas have received it, a promoted member leads with what it had
 //! received, and replicas that were ahead are rolled back.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -22,6 +22,8 @@
 const QUEUE: usize = 24;
 /// Time from the call to the effect of a promotion (`promote_ms`).
 const PROMOTE: Duration = Duration::from_millis(600);
+/// Time by which replicas are behind (`lag_ms`).
+const LAG: Duration = Duration::from_millis(8);
 /// Interval of the members' heartbeats (`heartbeatMs`).
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -103,6 +105,10 @@
     pub sync: usize,
     pub promotions: Vec<Promotion>,
     pub ran: Vec<Ran>,
+    /// Length of the newest primary's log, by time.
+    history: VecDeque<(Instant, usize, usize)>,
+    /// Zones whose machines the store turns away with 503.
+    pub turned_away: Vec<String>,
     record: File,
 }
 
@@ -110,7 +116,7 @@
 pub struct World {
     pub state: Arc<Mutex<State>>,
     pub started: Instant,
-    pub store: SocketAddr,
+    pub stores: HashMap<String, SocketAddr>,
     folder: PathBuf,
     /// Mean work of a read in milliseconds (`work_ms`).
     pub work_ms: u64,
@@ -143,9 +149,15 @@
     pub fn start(record: &str, sync: usize, slots: usize, work_ms: u64) -> Self {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let listener = listen();
+        let mut listeners = Vec::new();
+        let mut stores = HashMap::new();
+        for zone in ["na-a", "cp-a", "wc-a"] {
+            let listener = listen();
+            stores.insert(zone.to_owned(), listener.local_addr().unwrap());
+            listeners.push((zone, listener));
+        }
         let world = Self {
-            store: listener.local_addr().unwrap(),
+            stores,
             started: Instant::now(),
             folder,
             work_ms,
@@ -157,40 +169,23 @@
                 sync,
                 promotions: Vec::new(),
                 ran: Vec::new(),
+                history: VecDeque::new(),
+                turned_away: Vec::new(),
                 record: File::create(record).expect("record.txt"),
             })),
         };
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-        for (index, zone) in ["na-a", "cp-a", "wc-a"].iter().enumerate() {
-            let socket = listen();
-            world.state.lock().unwrap().members.push(Member {
-                id: format!("i-{:04x}", 0x51a0 + index * 0x111),
-                address: socket.local_addr().unwrap(),
-                zone: (*zone).to_owned(),
-                alive: true,
-                leads: index == 0,
-                term: 1,
-                log: Vec::new(),
-                deaf: false,
-                draining: false,
-                sequence: 1,
-                born,
-                slots,
-                running: 0,
-                waiting: 0,
-                superseded_at: None,
+        for zone in ["na-a", "cp-a", "wc-a"] {
+            world.add_member(zone, slots);
+        }
+        for (zone, listener) in listeners {
+            let server = world.clone();
+            thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let server = server.clone();
+                    thread::spawn(move || server.serve_store(zone, stream));
+                }
             });
-            world.report(index);
-            let member = world.clone();
-            thread::spawn(move || member.serve_member(index, socket));
         }
-        let server = world.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let server = server.clone();
-                thread::spawn(move || server.serve_store(stream));
-            }
-        });
         let beats = world.clone();
         thread::spawn(move || loop {
             thread::sleep(HEARTBEAT);
@@ -205,6 +200,49 @@
         world
     }
 
+    /// Starts another member and returns its index. The first one leads, and a later one begins
+    /// with the log of the primary.
+    pub fn add_member(&self, zone: &str, slots: usize) -> usize {
+        let socket = listen();
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let index = {
+            let mut state = self.state.lock().unwrap();
+            let index = state.members.len();
+            let newest = state.newest;
+            let source = state.members.get(newest);
+            let (log, term) = source.map_or((Vec::new(), 1), |one| (one.log.clone(), one.term));
+            state.members.push(Member {
+                // The first one in order of the ids is the newest one.
+                id: format!("i-{:04x}", 0x51a0 + (9 - index) * 0x111),
+                address: socket.local_addr().unwrap(),
+                zone: zone.to_owned(),
+                alive: true,
+                leads: index == 0,
+                term,
+                log,
+                deaf: false,
+                draining: false,
+                sequence: 1,
+                born,
+                slots,
+                running: 0,
+                waiting: 0,
+                superseded_at: None,
+            });
+            index
+        };
+        self.report(index);
+        let world = self.clone();
+        thread::spawn(move || world.serve_member(index, socket));
+        index
+    }
+
+    /// Reports a member as about to stop.
+    pub fn drain(&self, index: usize) {
+        self.state.lock().unwrap().members[index].draining = true;
+        self.report(index);
+    }
+
     pub fn put(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
@@ -274,7 +312,7 @@
              grace_s = 6\ndescriptor_limit = 8400\npromotion_address = \"{}\"\n[regions]\n\
              na-a = \"north-atlantic\"\ncp-a = \"central-plains\"\nwc-a = \"west-coast\"\n\
              [store]\naddress = \"{}\"\n",
-            addresses[0], addresses[1], addresses[2], addresses[3], self.store, self.store
+            addresses[0], addresses[1], addresses[2], addresses[3], self.stores[zone], self.stores[zone]
         );
         let file = self.folder.join(format!("{name}.toml"));
         std::fs::write(&file, settings).expect("a settings file");
@@ -312,9 +350,18 @@
     fn replicate(&self) {
         let mut state = self.state.lock().unwrap();
         let newest = state.newest;
+        let now = Instant::now();
+        let length = state.members[newest].log.len();
+        state.history.push_back((now, newest, length));
+        while state.history.get(1).is_some_and(|(at, ..)| now - *at >= LAG) {
+            state.history.pop_front();
+        }
+        let sent = state.history.front().filter(|(_, source, _)| *source == newest).map(|(.., length)| *length);
         let (log, term, reaches) = {
             let source = &state.members[newest];
-            (source.log.clone(), source.term, source.alive && source.leads)
+            let log = source.log[..sent.unwrap_or(0).min(length)].to_vec();
+            // What was committed before a step-down still arrives.
+            (log, source.term, source.alive && sent.is_some())
         };
         for (index, member) in state.members.iter_mut().enumerate() {
             if index == newest || !member.alive || !reaches {
@@ -417,8 +464,9 @@
         }
     }
 
-    /// Occupies a slot for the work of a statement.
-    fn work(&self, index: usize) -> Result<(), &'static str> {
+    /// Occupies a slot for the work of a statement, and returns the value of `item` as of the
+    /// begin of the work.
+    fn work(&self, index: usize, item: &str) -> Result<String, &'static str> {
         {
             let mut state = self.state.lock().unwrap();
             let member = &mut state.members[index];
@@ -443,10 +491,15 @@
             }
             pause(1);
         }
+        let found = {
+            let state = self.state.lock().unwrap();
+            let mut writes = state.members[index].log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
+            writes.find(|(_, known, _)| known == item).map_or(String::new(), |(_, _, data)| data.clone())
+        };
         let jitter = next_number() % self.work_ms.max(1);
         pause(self.work_ms / 2 + jitter);
         self.state.lock().unwrap().members[index].running -= 1;
-        Ok(())
+        Ok(found)
     }
 
     fn run(&self, index: usize, session: &mut Session, id: &str, text: &str) -> Result<Vec<String>, &'static str> {
@@ -471,12 +524,13 @@
         let (word, item, data) =
             (words.next().unwrap_or(""), words.next().unwrap_or(""), words.next().unwrap_or(""));
         let leads = self.state.lock().unwrap().members[index].leads;
+        let mut found = String::new();
         if matches!(word, "READ" | "WRITE" | "COMMIT") {
             if word != "READ" && !leads && (word == "WRITE" || session.wrote()) {
                 session.failed = session.writes.is_some();
                 return Err("READONLY");
             }
-            self.work(index)?;
+            found = self.work(index, item)?;
             let values = session.values.clone();
             let at_ms = self.now_ms();
             let mut state = self.state.lock().unwrap();
@@ -501,12 +555,7 @@
                 session.writes = None;
                 session.failed = false;
             }
-            "READ" => {
-                let state = self.state.lock().unwrap();
-                let writes = state.members[index].log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
-                let found = writes.into_iter().find(|(_, known, _)| known == item);
-                return Ok(vec![found.map_or(String::new(), |(_, _, data)| data.clone())]);
-            }
+            "READ" => return Ok(vec![found]),
             "WRITE" => {
                 let write = (id.to_owned(), item.to_owned(), data.to_owned());
                 match &mut session.writes {
@@ -605,7 +654,8 @@
         true
     }
 
-    fn serve_store(&self, stream: TcpStream) {
+    /// Answers the calls of the machines of a zone.
+    fn serve_store(&self, zone: &str, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut output = stream.try_clone().unwrap();
         let mut input = BufReader::new(stream);
@@ -636,7 +686,15 @@
             if input.read_exact(&mut body).is_err() {
                 return;
             }
-            let (status, text) = self.call(&method, &target, &headers, &String::from_utf8_lossy(&body));
+            let is_turned_away = || self.state.lock().unwrap().turned_away.iter().any(|one| one == zone);
+            let called_away = is_turned_away();
+            let (mut status, mut text) = match called_away {
+                true => (503, "{}".to_owned()),
+                false => self.call(&method, &target, &headers, &String::from_utf8_lossy(&body)),
+            };
+            if method == "GET" && is_turned_away() {
+                (status, text) = (503, "{}".to_owned());
+            }
             let answer = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
