review: case 6, writes acknowledged by a superseded primary

Cause: a host that the store turns away takes the answers of the members that it has listed as a proof that no other member was promoted. No code is changed.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -9,10 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use world::{next_number, pause, Answer, Client, World};
+use world::{next_number, pause, Answer, Client, World, ANIKAPOA, FERNWAKE};
 
-/// Items that the case `stale` writes and reads.
-const ITEMS: usize = 4;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -20,7 +18,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match name.as_str() {
         "lost" => lost(&record, trouble),
-        "stale" => stale(&record, trouble),
+        "one" => one(&record, trouble),
+        "memory" => memory(&record, trouble),
         "pinned" => pinned(&record, trouble),
         _ => 2,
     };
@@ -53,8 +52,8 @@
 /// A replica receives nothing, and the primary crashes meanwhile. The other replica has all
 /// acknowledged commits, and its slots are in use by reads.
 fn lost(record: &str, trouble: bool) -> i32 {
-    let world = World::start(record, 1, 3, 40);
-    world.configure(1, 22);
+    let world = World::start(record, 1, FERNWAKE, 40);
+    world.configure(1);
     let daemons = world.start_daemons();
     let fronts: Vec<_> = daemons.iter().map(|daemon| daemon.front).collect();
     let stop = Arc::new(AtomicBool::new(false));
@@ -148,8 +147,8 @@
 /// A client sets a session value inside its transaction, directly before it commits. Without the
 /// trouble it sets the value before the transaction.
 fn pinned(record: &str, trouble: bool) -> i32 {
-    let world = World::start(record, 0, 3, 8);
-    world.configure(1, 22);
+    let world = World::start(record, 0, FERNWAKE, 8);
+    world.configure(1);
     let daemons = world.start_daemons();
     pause(3_000);
     let mut commits = Vec::new();
@@ -194,120 +193,167 @@
     conclude(&world, "PINNED", result)
 }
 
-/// The primary is replaced by a new member while the store turns one machine away and the two
-/// replicas receive nothing. Callers of that machine read on the route `current`.
-fn stale(record: &str, trouble: bool) -> i32 {
-    let world = World::start(record, 0, 3, 8);
-    world.configure(1, 22);
-    let daemons = world.start_daemons();
-    let (writing, reading) = (daemons[0].front, daemons[3].front);
-    let stop = Arc::new(AtomicBool::new(false));
-    pause(4_000);
-    // For each item the numbers of its acknowledged writes.
-    let acknowledged: Arc<Mutex<[u64; ITEMS]>> = Arc::default();
-    let answered: Arc<Mutex<u64>> = Arc::default();
-    // Item of each read that lacks an acknowledged write, and the number of that write.
-    let behind: Arc<Mutex<Vec<(usize, u64)>>> = Arc::default();
-    let mut tasks = Vec::new();
-    for item in 0..ITEMS {
-        let (stop, acknowledged, world) = (stop.clone(), acknowledged.clone(), world.clone());
-        tasks.push(thread::spawn(move || {
-            let (mut client, mut number) = (None, 0);
-            while !stop.load(Ordering::Relaxed) {
-                let Some(open) = client.as_mut() else {
-                    client = Client::connect(writing, "current");
-                    pause(20);
-                    continue;
-                };
-                number += 1;
-                let id = format!("w{:x}", next_number());
-                let answer = open.send(&id, &format!("WRITE k{item} {number}"));
-                world.note(&format!("edge-na-a-1: {id} WRITE k{item} {number}: {answer:?}"));
-                match answer {
-                    Answer::Done(_) => acknowledged.lock().unwrap()[item] = number,
-                    Answer::Lost => client = None,
-                    Answer::Error(_) => {}
+/// Memory of a machine of the Fernwake sheet (`memoryMb`).
+const MEMORY_MB: u64 = 520;
+/// Statements that a client prepares in a session at most.
+const PREPARED_MAX: u64 = 700;
+
+/// One client of each of two machines prepares statements and never drops them. The platform kills
+/// a process whose memory exceeds the limit, and starts it again. Without the trouble the client
+/// drops each statement before it prepares the next one.
+fn memory(record: &str, trouble: bool) -> i32 {
+    let world = World::start(record, 0, FERNWAKE, 8);
+    world.configure(1);
+    let mut daemons = world.start_daemons();
+    pause(2_000);
+    // The longest message is 1 MiB.
+    let shape = "q".repeat((1 << 20) - 200);
+    let mut ends = [0; 2];
+    let mut highest = 0;
+    let mut is_sound = true;
+    for _ in 0..3 {
+        for (index, end) in ends.iter_mut().enumerate() {
+            let daemon = &mut daemons[index];
+            let deadline = Instant::now() + Duration::from_secs(10);
+            let mut client = None;
+            while client.is_none() && Instant::now() < deadline {
+                client = Client::connect(daemon.front, "bounded");
+                pause(50);
+            }
+            let Some(mut client) = client else {
+                is_sound = false;
+                continue;
+            };
+            for number in 0..PREPARED_MAX {
+                let id = format!("p{:x}", next_number());
+                let answer = client.send(&id, &format!("PREPARE s{number} READ {number}{shape}"));
+                let memory = daemon.memory_mb();
+                highest = highest.max(memory);
+                if number % 50 == 0 || memory > MEMORY_MB || !matches!(answer, Answer::Done(_)) {
+                    world.note(&format!(
+                        "{}: {id} PREPARE s{number} READ {number}q... ({} bytes): {answer:?}; {memory} MB",
+                        daemon.name, shape.len()
+                    ));
+                }
+                if !matches!(answer, Answer::Done(_)) {
+                    break;
+                }
+                if memory > MEMORY_MB {
+                    *end += 1;
+                    world.note(&format!("{} is over {MEMORY_MB} MB: killed and started again", daemon.name));
+                    world.restart_daemon(daemon);
+                    break;
+                }
+                if !trouble && client.send(&format!("p{:x}", next_number()), &format!("DEALLOC s{number}")) == Answer::Lost {
+                    is_sound = false;
                 }
-                pause(15);
             }
-        }));
+        }
     }
-    for reader in 0..ITEMS {
+    world.finish(daemons);
+    let text = format!("two of four machines ended {} and {} times for their memory; at most {highest} MB", ends[0], ends[1]);
+    let result = match (is_sound, ends.iter().all(|end| *end >= 3)) {
+        (_, true) => broken(&text),
+        (true, false) => Ok(text),
+        (false, false) => Err(text),
+    };
+    conclude(&world, "FAULT", result)
+}
+
+/// The primary is replaced by a new member. The store turns one machine away, which does not know
+/// the new member; the primary is cut off from the other members and machines, and its replicas
+/// receive nothing. Without the trouble there is only the planned replacement.
+fn one(record: &str, trouble: bool) -> i32 {
+    let world = World::start(record, 0, ANIKAPOA, 8);
+    world.configure(1);
+    let daemons = world.start_daemons();
+    pause(4_000);
+    let stop = Arc::new(AtomicBool::new(false));
+    // Acknowledged writes with the times at which they were sent and answered.
+    let acknowledged: Arc<Mutex<Vec<(String, u64, u64)>>> = Arc::default();
+    let mut tasks = Vec::new();
+    for index in [0, 3, 3] {
+        let (front, name) = (daemons[index].front, daemons[index].name.clone());
         let (stop, acknowledged, world) = (stop.clone(), acknowledged.clone(), world.clone());
-        let (answered, behind) = (answered.clone(), behind.clone());
-        let item = reader % ITEMS;
         tasks.push(thread::spawn(move || {
             let mut client = None;
             while !stop.load(Ordering::Relaxed) {
                 let Some(open) = client.as_mut() else {
-                    client = Client::connect(reading, "current");
+                    client = Client::connect(front, "current");
                     pause(20);
                     continue;
                 };
-                // The newest write that was acknowledged before the first byte of the read.
-                let known = acknowledged.lock().unwrap()[item];
-                let id = format!("r{:x}", next_number());
-                let answer = open.send(&id, &format!("READ k{item}"));
-                let mut text = format!("edge-wc-a-1: {id} READ k{item}: {answer:?}");
+                let id = format!("w{:x}", next_number());
+                let sent_at = world.now_ms();
+                let answer = open.send(&id, &format!("WRITE k{} d{id}", next_number() % 50));
+                let answered_at = world.now_ms();
+                world.note(&format!("{name}: {id} WRITE sent at {sent_at} ms: {answer:?}"));
                 match answer {
-                    Answer::Done(rows) => {
-                        let seen: u64 = rows.first().and_then(|row| row.parse().ok()).unwrap_or(0);
-                        *answered.lock().unwrap() += 1;
-                        if seen < known {
-                            behind.lock().unwrap().push((item, known));
-                            text += &format!(" BEHIND: {known} was acknowledged before the read was sent");
-                        }
-                    }
+                    Answer::Done(_) => acknowledged.lock().unwrap().push((id, sent_at, answered_at)),
                     Answer::Lost => client = None,
                     Answer::Error(_) => {}
                 }
-                world.note(&text);
-                pause(15);
+                pause(40);
             }
         }));
     }
     pause(2_000);
     if trouble {
-        world.note("the store turns edge-wc-a-1 away; the replicas receive nothing");
+        world.note("the store turns edge-wc-a-1 away");
+        world.state.lock().unwrap().turned_away.push("wc-a".to_owned());
+    }
+    pause(300);
+    world.note("a new member starts");
+    world.add_member("na-a");
+    pause(200);
+    world.note("the primary is about to stop");
+    world.drain(0);
+    if trouble {
+        world.note("the primary is cut off from the members and from all machines but edge-wc-a-1; the replicas receive nothing");
         let mut state = world.state.lock().unwrap();
-        state.turned_away.push("wc-a".to_owned());
+        state.members[0].cut_from = ["edge-na-a-1", "edge-na-a-2", "edge-cp-a-1"].map(str::to_owned).to_vec();
         state.members[1].deaf = true;
         state.members[2].deaf = true;
     }
-    pause(500);
-    let added = world.add_member("na-a", 3);
-    world.note("a new member starts, and the primary is about to stop");
-    pause(200);
-    world.drain(0);
-    pause(5_700);
+    pause(6_300);
     {
         let mut state = world.state.lock().unwrap();
+        state.members[0].cut_from.clear();
         state.members[1].deaf = false;
         state.members[2].deaf = false;
         state.turned_away.clear();
     }
-    world.note("the replicas receive again, and the store serves edge-wc-a-1");
-    pause(1_500);
+    world.note("all links and the store are back");
+    pause(3_000);
     stop.store(true, Ordering::Relaxed);
     tasks.into_iter().for_each(|task| task.join().unwrap());
     world.finish(daemons);
-    let promoted = world.state.lock().unwrap().promotions.first().map(|one| one.member.clone());
-    let added = world.state.lock().unwrap().members[added].id.clone();
-    // Commits that a promote rolled back don't count.
-    let kept: HashSet<(String, String)> = {
+    let result = {
         let state = world.state.lock().unwrap();
-        let log = state.members[state.newest].log.iter();
-        log.flat_map(|entry| &entry.writes).map(|(_, item, data)| (item.clone(), data.clone())).collect()
-    };
-    let behind = behind.lock().unwrap();
-    let is_kept = |(item, known): &&(usize, u64)| kept.contains(&(format!("k{item}"), known.to_string()));
-    let stale = behind.iter().filter(is_kept).count();
-    let all = *answered.lock().unwrap();
-    let text = format!("{stale} of {all} reads were stale; promoted: {promoted:?}, the new member is {added}");
-    let result = match stale {
-        _ if promoted.is_none() => Err(text),
-        0 => Ok(text),
-        _ => broken(&text),
+        match state.promotions.first() {
+            None => Err("no member was promoted".to_owned()),
+            Some(promotion) => {
+                let old = &state.members[0].id;
+                let at_old = |id: &str| state.ran.iter().any(|ran| ran.id == id && ran.member == *old);
+                let acknowledged = acknowledged.lock().unwrap();
+                let late: Vec<&str> = acknowledged
+                    .iter()
+                    .filter(|(id, sent_at, _)| *sent_at > promotion.at_ms && at_old(id))
+                    .map(|(id, ..)| id.as_str())
+                    .collect();
+                let log = &state.members[state.newest].log;
+                let kept: HashSet<&str> = log.iter().flat_map(|entry| &entry.writes).map(|(id, ..)| id.as_str()).collect();
+                let lost = late.iter().filter(|id| !kept.contains(*id)).count();
+                let text = format!(
+                    "{} leads from {} ms on; {} writes were sent, committed at {old} and acknowledged after that, {lost} of them are gone at the end; {} acknowledged in all",
+                    promotion.member, promotion.at_ms, late.len(), acknowledged.len()
+                );
+                match late.is_empty() {
+                    true => Ok(text),
+                    false => broken(&text),
+                }
+            }
+        }
     };
-    conclude(&world, "STALE", result)
+    conclude(&world, "ONE", result)
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -20,13 +20,38 @@
 pub const SERVICE: &str = "birds-db";
 /// Statements that wait for a slot of a member, as in the site file (`queue`).
 const QUEUE: usize = 24;
-/// Time from the call to the effect of a promotion (`promote_ms`).
-const PROMOTE: Duration = Duration::from_millis(600);
-/// Time by which replicas are behind (`lag_ms`).
-const LAG: Duration = Duration::from_millis(8);
 /// Interval of the members' heartbeats (`heartbeatMs`).
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Figures of a site file.
+#[derive(Clone, Copy)]
+pub struct Figures {
+    /// Slots of a member.
+    pub slots: usize,
+    /// Connections that a member takes.
+    pub connections: usize,
+    /// Time from the call to the effect of a promotion (`promote_ms`).
+    pub promote: Duration,
+    /// Time by which replicas are behind (`lag_ms`).
+    pub lag: Duration,
+}
+
+/// Those of sites/fernwake-sightings.toml.
+pub const FERNWAKE: Figures = Figures {
+    slots: 3,
+    connections: 22,
+    promote: Duration::from_millis(600),
+    lag: Duration::from_millis(8),
+};
+
+/// Those of sites/anikapoa.toml.
+pub const ANIKAPOA: Figures = Figures {
+    slots: 2,
+    connections: 28,
+    promote: Duration::from_millis(1_000),
+    lag: Duration::from_millis(20),
+};
+
 pub fn pause(ms: u64) {
     thread::sleep(Duration::from_millis(ms));
 }
@@ -48,6 +73,9 @@
     pub log: Vec<Entry>,
     /// Receives nothing.
     pub deaf: bool,
+    /// Machines that a partition cuts off from the member; if there is one, the other members are
+    /// cut off, too.
+    pub cut_from: Vec<String>,
     pub draining: bool,
     pub sequence: u64,
     pub born: u64,
@@ -118,6 +146,7 @@
     pub started: Instant,
     pub stores: HashMap<String, SocketAddr>,
     folder: PathBuf,
+    figures: Figures,
     /// Mean work of a read in milliseconds (`work_ms`).
     pub work_ms: u64,
 }
@@ -145,8 +174,8 @@
         let _ = state.record.write_all(line.as_bytes());
     }
 
-    /// Starts the store and three members with `slots` slots each. The first one leads.
-    pub fn start(record: &str, sync: usize, slots: usize, work_ms: u64) -> Self {
+    /// Starts the store and three members. The first one leads.
+    pub fn start(record: &str, sync: usize, figures: Figures, work_ms: u64) -> Self {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let mut listeners = Vec::new();
@@ -160,6 +189,7 @@
             stores,
             started: Instant::now(),
             folder,
+            figures,
             work_ms,
             state: Arc::new(Mutex::new(State {
                 rows: BTreeMap::new(),
@@ -175,7 +205,7 @@
             })),
         };
         for zone in ["na-a", "cp-a", "wc-a"] {
-            world.add_member(zone, slots);
+            world.add_member(zone);
         }
         for (zone, listener) in listeners {
             let server = world.clone();
@@ -202,7 +232,8 @@
 
     /// Starts another member and returns its index. The first one leads, and a later one begins
     /// with the log of the primary.
-    pub fn add_member(&self, zone: &str, slots: usize) -> usize {
+    pub fn add_member(&self, zone: &str) -> usize {
+        let slots = self.figures.slots;
         let socket = listen();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let index = {
@@ -221,6 +252,7 @@
                 term,
                 log,
                 deaf: false,
+                cut_from: Vec::new(),
                 draining: false,
                 sequence: 1,
                 born,
@@ -278,7 +310,8 @@
     }
 
     /// Writes the configuration: one route of each kind, named as its kind.
-    pub fn configure(&self, version: u64, connections: usize) {
+    pub fn configure(&self, version: u64) {
+        let connections = self.figures.connections;
         let sync = self.state.lock().unwrap().sync;
         let route = |name: &str, kind: &str, timeout: u64, extra: &str| {
             format!(
@@ -316,16 +349,29 @@
         );
         let file = self.folder.join(format!("{name}.toml"));
         std::fs::write(&file, settings).expect("a settings file");
-        let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log file");
-        let child = Command::new("target/release/cassiad")
+        let child = self.run_daemon(name);
+        Daemon { name: name.to_owned(), front: addresses[0], ready: addresses[1], child }
+    }
+
+    fn run_daemon(&self, name: &str) -> Child {
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
+        let log = log.expect("a log file");
+        Command::new("target/release/cassiad")
             .args(["--managed", "--settings"])
-            .arg(&file)
+            .arg(self.folder.join(format!("{name}.toml")))
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
-            .expect("target/release/cassiad starts");
-        Daemon { name: name.to_owned(), front: addresses[0], ready: addresses[1], child }
+            .expect("target/release/cassiad starts")
+    }
+
+    /// Kills a daemon as the platform does, and starts it again after a short delay.
+    pub fn restart_daemon(&self, daemon: &mut Daemon) {
+        let _ = daemon.child.kill();
+        let _ = daemon.child.wait();
+        pause(500);
+        daemon.child = self.run_daemon(&daemon.name);
     }
 
     /// The machines of the Fernwake sheet.
@@ -353,7 +399,7 @@
         let now = Instant::now();
         let length = state.members[newest].log.len();
         state.history.push_back((now, newest, length));
-        while state.history.get(1).is_some_and(|(at, ..)| now - *at >= LAG) {
+        while state.history.get(1).is_some_and(|(at, ..)| now - *at >= self.figures.lag) {
             state.history.pop_front();
         }
         let sent = state.history.front().filter(|(_, source, _)| *source == newest).map(|(.., length)| *length);
@@ -361,10 +407,10 @@
             let source = &state.members[newest];
             let log = source.log[..sent.unwrap_or(0).min(length)].to_vec();
             // What was committed before a step-down still arrives.
-            (log, source.term, source.alive && sent.is_some())
+            (log, source.term, source.alive && source.cut_from.is_empty() && sent.is_some())
         };
         for (index, member) in state.members.iter_mut().enumerate() {
-            if index == newest || !member.alive || !reaches {
+            if index == newest || !member.alive || !reaches || !member.cut_from.is_empty() {
                 continue;
             }
             if member.leads {
@@ -386,6 +432,10 @@
         self.state.lock().unwrap().members[index].alive = false;
     }
 
+    fn is_cut(&self, index: usize, machine: &str) -> bool {
+        self.state.lock().unwrap().members[index].cut_from.iter().any(|name| name == machine)
+    }
+
     fn is_alive(&self, index: usize) -> bool {
         self.state.lock().unwrap().members[index].alive
     }
@@ -410,14 +460,32 @@
         let mut output = stream.try_clone().unwrap();
         let mut lines = Lines::new(stream);
         let mut session = Session::default();
+        let mut client = String::new();
+        let mut is_lost = false;
         loop {
             let line = match lines.next() {
                 Next::Line(line) => line,
                 Next::Wait if self.is_alive(index) => continue,
                 Next::Wait | Next::End => return,
             };
+            if let Some(rest) = line.strip_prefix("CONNECT ") {
+                // A connection names its machine.
+                client = rest.split(' ').nth(1).unwrap_or("").to_owned();
+            }
+            // Behind a partition nothing arrives, and the connection is lost.
+            while self.is_cut(index, &client) {
+                pause(10);
+                is_lost = true;
+            }
+            if is_lost {
+                return;
+            }
             let answer = self.answer(index, &mut session, &line);
-            if !self.is_alive(index) {
+            while self.is_cut(index, &client) {
+                pause(10);
+                is_lost = true;
+            }
+            if is_lost || !self.is_alive(index) {
                 return;
             }
             let moved = answer.starts_with("ERROR MOVED");
@@ -629,7 +697,7 @@
         };
         let world = self.clone();
         thread::spawn(move || {
-            thread::sleep(PROMOTE);
+            thread::sleep(world.figures.promote);
             let mut state = world.state.lock().unwrap();
             if !state.members[index].alive || (state.newest == index && state.members[index].leads) {
                 return;
@@ -880,6 +948,13 @@
 }
 
 impl Daemon {
+    /// Returns the memory of the process in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0");
+        line.trim().trim_end_matches("kB").trim().parse::<u64>().unwrap_or(0) / 1_024
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else {
             return false;
