review: the stand-ins' daemons end with the script

Cause: a script that is killed left its daemons running. Change: the kernel kills them with their parent. Measured: after kill -9 of a script no daemon runs.

--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -18,6 +19,13 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SERVICE: &str = "birds-db";
+const PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
 /// Statements that wait for a slot of a member, as in the site file (`queue`).
 const QUEUE: usize = 24;
 /// Interval of the members' heartbeats (`heartbeatMs`).
@@ -356,14 +364,21 @@
     fn run_daemon(&self, name: &str) -> Child {
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
         let log = log.expect("a log file");
-        Command::new("target/release/cassiad")
+        let mut command = Command::new("target/release/cassiad");
+        command
             .args(["--managed", "--settings"])
             .arg(self.folder.join(format!("{name}.toml")))
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .expect("target/release/cassiad starts")
+            .stderr(log);
+        // SAFETY: the call only tells the kernel to kill the daemon if this program is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL);
+                Ok(())
+            });
+        }
+        command.spawn().expect("target/release/cassiad starts")
     }
 
     /// Kills a daemon as the platform does, and starts it again after a short delay.
