--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -96,6 +96,10 @@
     let deadline = Instant::now() + Duration::from_secs(12);
     while trouble && Instant::now() < deadline && world.state.lock().unwrap().promotions.is_empty() {
         pause(50);
+        // Within the 6.5 s of the site file, also if no member is promoted.
+        if trouble && Instant::now() + Duration::from_millis(7_800) > deadline {
+            world.state.lock().unwrap().members[2].deaf = false;
+        }
     }
     world.state.lock().unwrap().members[2].deaf = false;
     pause(2_000);
@@ -261,8 +265,8 @@
 }
 
 /// The primary is replaced by a new member. The store turns one machine away, which does not know
-/// the new member; the primary is cut off from the other members and machines, and its replicas
-/// receive nothing. Without the trouble there is only the planned replacement.
+/// the new member; the primary is cut off from the other members, the machine that changes it and
+/// one more, and its replicas receive nothing. Without the trouble there is only the planned replacement.
 fn one(record: &str, trouble: bool) -> i32 {
     let world = World::start(record, 0, ANIKAPOA, 8);
     world.configure(1);
@@ -309,9 +313,19 @@
     world.note("the primary is about to stop");
     world.drain(0);
     if trouble {
-        world.note("the primary is cut off from the members and from all machines but edge-wc-a-1; the replicas receive nothing");
+        // The machine that acts, and one more: two of four.
+        let deadline = Instant::now() + Duration::from_secs(5);
+        let mut leader = None;
+        while leader.is_none() && Instant::now() < deadline {
+            pause(5);
+            leader = world.state.lock().unwrap().leader.clone();
+        }
+        let leader = leader.unwrap_or_default();
+        let others = ["edge-na-a-1", "edge-na-a-2", "edge-cp-a-1"].map(str::to_owned).into_iter();
+        let other = others.filter(|name| *name != leader).next().unwrap_or_default();
+        world.note(&format!("the primary is cut off from the members, {leader} and {other}; the replicas receive nothing"));
         let mut state = world.state.lock().unwrap();
-        state.members[0].cut_from = ["edge-na-a-1", "edge-na-a-2", "edge-cp-a-1"].map(str::to_owned).to_vec();
+        state.members[0].cut_from = vec![leader, other];
         state.members[1].deaf = true;
         state.members[2].deaf = true;
     }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -91,6 +91,9 @@
     pub running: usize,
     pub waiting: usize,
     pub superseded_at: Option<Instant>,
+    /// Open connections, which `maxConns` limits.
+    pub connections: usize,
+    pub crashed_at: Option<Instant>,
 }
 
 impl Member {
@@ -145,6 +148,8 @@
     history: VecDeque<(Instant, usize, usize)>,
     /// Zones whose machines the store turns away with 503.
     pub turned_away: Vec<String>,
+    /// The machine that last wrote a row with its name under a condition.
+    pub leader: Option<String>,
     record: File,
 }
 
@@ -163,12 +168,12 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port")
 }
 
-/// Returns a free address for a daemon. Each daemon has a loopback address of its own, whose ports
+/// Returns a free port for a daemon. Each daemon has a loopback address of its own, whose ports
 /// no outgoing connection uses.
-fn free_address(daemon: u64) -> SocketAddr {
+fn free_port(daemon: u64) -> TcpListener {
     let process = std::process::id();
     let ip = Ipv4Addr::new(127, 64 + (process % 64) as u8, (process / 64 % 250) as u8, daemon as u8);
-    TcpListener::bind((ip, 0)).expect("a free port").local_addr().expect("an address")
+    TcpListener::bind((ip, 0)).expect("a free port")
 }
 
 impl World {
@@ -209,6 +214,7 @@
                 ran: Vec::new(),
                 history: VecDeque::new(),
                 turned_away: Vec::new(),
+                leader: None,
                 record: File::create(record).expect("record.txt"),
             })),
         };
@@ -229,6 +235,14 @@
             thread::sleep(HEARTBEAT);
             let count = beats.state.lock().unwrap().members.len();
             (0..count).for_each(|index| beats.report(index));
+            // An entry is removed after three intervals of silence.
+            let silent: Vec<String> = {
+                let mut state = beats.state.lock().unwrap();
+                let members = state.members.iter_mut();
+                let silent = members.filter(|one| one.crashed_at.is_some_and(|at| at.elapsed() > HEARTBEAT * 3));
+                silent.map(|one| { one.crashed_at = None; one.id.clone() }).collect()
+            };
+            silent.iter().for_each(|id| beats.put("servers", id, None));
         });
         let links = world.clone();
         thread::spawn(move || loop {
@@ -268,6 +282,8 @@
                 running: 0,
                 waiting: 0,
                 superseded_at: None,
+                connections: 0,
+                crashed_at: None,
             });
             index
         };
@@ -346,7 +362,10 @@
     pub fn start_daemon(&self, name: &str, zone: &str) -> Daemon {
         static DAEMONS: AtomicU64 = AtomicU64::new(0);
         let number = DAEMONS.fetch_add(1, Ordering::Relaxed) % 250 + 1;
-        let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address(number)).collect();
+        // All are held until the last one is found, so that they differ.
+        let held: Vec<TcpListener> = (0..4).map(|_| free_port(number)).collect();
+        let addresses: Vec<SocketAddr> = held.iter().map(|one| one.local_addr().expect("an address")).collect();
+        drop(held);
         let settings = format!(
             "host = \"{name}\"\ndata_centre = \"{zone}\"\ncaller_address = \"{}\"\n\
              readiness_address = \"{}\"\nmetrics_address = \"{}\"\nrelay_address = \"{}\"\n\
@@ -444,7 +463,9 @@
 
     /// Kills a member: its connections end and new ones are refused.
     pub fn crash(&self, index: usize) {
-        self.state.lock().unwrap().members[index].alive = false;
+        let mut state = self.state.lock().unwrap();
+        state.members[index].alive = false;
+        state.members[index].crashed_at = Some(Instant::now());
     }
 
     fn is_cut(&self, index: usize, machine: &str) -> bool {
@@ -462,7 +483,11 @@
                 Ok((stream, _)) => {
                     stream.set_nonblocking(false).unwrap();
                     let world = self.clone();
-                    thread::spawn(move || world.serve_connection(index, stream));
+                    thread::spawn(move || {
+                        world.state.lock().unwrap().members[index].connections += 1;
+                        world.serve_connection(index, stream);
+                        world.state.lock().unwrap().members[index].connections -= 1;
+                    });
                 }
                 Err(_) => pause(1),
             }
@@ -503,7 +528,7 @@
             if is_lost || !self.is_alive(index) {
                 return;
             }
-            let moved = answer.starts_with("ERROR MOVED");
+            let moved = answer.starts_with("ERROR MOVED") || answer.starts_with("ERROR CONNLIMIT");
             if output.write_all(answer.as_bytes()).is_err() || moved {
                 return;
             }
@@ -523,6 +548,9 @@
             if id != SERVICE || expected.is_some_and(|expected| expected != member.id) {
                 return format!("ERROR MOVED {}\r\n", member.id);
             }
+            if member.connections > self.figures.connections {
+                return "ERROR CONNLIMIT\r\n".to_owned();
+            }
             return format!("READY I {}\r\n", member.position());
         }
         let result = self.run(index, session, id, text);
@@ -606,6 +634,10 @@
         let mut words = resolved.splitn(3, ' ');
         let (word, item, data) =
             (words.next().unwrap_or(""), words.next().unwrap_or(""), words.next().unwrap_or(""));
+        if word == "STATUS" && std::env::var("STATUS_WAITS").is_ok() {
+            // A trial only: STATUS waits for a slot like other statements.
+            self.work(index, "")?;
+        }
         let leads = self.state.lock().unwrap().members[index].leads;
         let mut found = String::new();
         if matches!(word, "READ" | "WRITE" | "COMMIT") {
@@ -626,7 +658,7 @@
                 let member = &mut state.members[index];
                 if word == "STEPDOWN" {
                     member.leads &= item.parse::<u64>().is_ok_and(|term| term <= member.term);
-                } else if member.running >= member.slots {
+                } else if member.running >= member.slots && std::env::var("STATUS_WAITS").is_err() {
                     return Err("BUSY");
                 }
                 let role = if member.leads { "primary" } else { "replica" };
@@ -866,7 +898,11 @@
         state.version += 1;
         let version = state.version;
         for entry in body.get("puts").list() {
-            let value = Some(decode(&entry.get("value").text()));
+            let value = decode(&entry.get("value").text());
+            if entry.get("key").text() == "duty" {
+                state.leader = Some(Json::parse(&String::from_utf8_lossy(&value)).get("host").text());
+            }
+            let value = Some(value);
             state.rows.insert(place(entry), Row { version, value });
         }
         for entry in body.get("remove").list() {
@@ -1006,11 +1042,15 @@
     pub fn connect(address: SocketAddr, database: &str) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
         stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
+        // A client waits 2 s for the greeting's answer.
+        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
         let mut client = Self { output: stream.try_clone().ok()?, lines: Lines::new(stream) };
         client.output.write_all(format!("CONNECT {database} u{}\r\n", next_number()).as_bytes()).ok()?;
         match client.lines.next() {
-            Next::Line(line) if line.starts_with("READY") => Some(client),
+            Next::Line(line) if line.starts_with("READY") => {
+                client.output.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
+                Some(client)
+            }
             _ => None,
         }
     }
