Log how each member answered before a promotion

Which members a host polled before it promoted one, and what they answered, was in no line, and a question that a member refused as busy could not be told from one without a connection. `member polled` has the outcome, once per member and outcome in an attempt; `AskError` has a variant for refusals.

--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -16,6 +16,16 @@
     Replica,
 }
 
+impl MemberRole {
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Primary => "primary",
+            Self::Replica => "replica",
+        }
+    }
+}
+
 /// Atomic snapshot of a member's state.
 ///
 /// # Invariants
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -1,6 +1,7 @@
 //! Carries out the steps of a change of primary at the store, the members and the
 //! platform. `coordination::managed::change_steps` decides on the next step.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -134,6 +135,7 @@
         let mut outcome = StepOutcome::Started;
         // All writes of the attempt are conditional on the era in which it began.
         let mut marker: Option<EraMarker> = None;
+        let mut poll_log = PollLog::default();
         loop {
             let now = self.context.clock.now();
             outcome = match group.with(|group| procedure.next(group, outcome, now)) {
@@ -178,7 +180,7 @@
                     StepOutcome::SteppedDown(step_down(group, member, term).await)
                 }
                 ChangeStep::PollMembers { former } => {
-                    StepOutcome::Polled(poll_members(group, former).await)
+                    StepOutcome::Polled(poll_members(group, former, &mut poll_log).await)
                 }
                 ChangeStep::Promote {
                     member,
@@ -329,25 +331,51 @@
     (status.role == MemberRole::Replica).then_some(status.received)
 }
 
+/// The outcomes of one attempt's polls that were logged. A poll is repeated often, and
+/// only an outcome that the member has not had before is logged.
+type PollLog = HashSet<(MemberKey, &'static str)>;
+
 /// Asks every member except `former` for its status; returns the answers.
 async fn poll_members<K: StatementCodec, C: MonotonicClock>(
     group: &GroupRuntime<K, C>,
     former: Option<MemberKey>,
+    poll_log: &mut PollLog,
 ) -> Vec<CandidateStatus> {
-    let members: Vec<MemberKey> = group.with(|group| group.members.keys().collect());
+    let members: Vec<(MemberKey, String)> = group.with(|group| {
+        let members = group.members.iter();
+        members
+            .filter(|(key, _)| Some(*key) != former)
+            .map(|(key, member)| (key, member.server.id.clone()))
+            .collect()
+    });
     let questions = members
-        .into_iter()
-        .filter(|member| Some(*member) != former)
-        .map(|member| async move {
-            let status = group.ask_status(member, REQUEST_TIMEOUT).await.ok()?;
-            Some(CandidateStatus {
-                member,
-                role: status.role,
-                term: status.term,
-                received: status.received,
-            })
-        });
-    join_all(questions).await.into_iter().flatten().collect()
+        .iter()
+        .map(|(key, _)| group.ask_status(*key, REQUEST_TIMEOUT));
+    let answers = join_all(questions).await;
+    let mut replies = Vec::new();
+    for ((key, id), answer) in members.iter().zip(answers) {
+        let outcome = answer
+            .as_ref()
+            .map_or_else(|error| error.name(), |_| "answered");
+        let status = answer.ok();
+        if poll_log.insert((*key, outcome)) {
+            let received = status.map_or_else(String::new, |status| status.received.to_string());
+            log::info!(
+                group = group.name.as_str(), member = id.as_str(), outcome,
+                role = status.map_or("", |status| status.role.name()),
+                term = status.map_or(0, |status| status.term.0),
+                received = received.as_str();
+                "member polled"
+            );
+        }
+        replies.extend(status.map(|status| CandidateStatus {
+            member: *key,
+            role: status.role,
+            term: status.term,
+            received: status.received,
+        }));
+    }
+    replies
 }
 
 fn decode_lease(value: &[u8]) -> Option<PromotionLease> {
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -9,7 +9,7 @@
 use coordination::managed::group::{ContactFailure, ListEvent, ManagedGroup};
 use coordination::managed::holder::HolderMap;
 use coordination::managed::primary_view::{AssuranceState, PrimaryEvent, RowReading};
-use protocol::statement::{MemberStatement, MemberStatus};
+use protocol::statement::{MemberRefusal, MemberStatement, MemberStatus};
 use slotmap::SecondaryMap;
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
@@ -51,16 +51,29 @@
 }
 
 /// Why a request to a member has no usable answer.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AskError {
-    /// No connection was free, or the member refused the request. This says nothing
+    /// No connection was free, or the answer could not be attributed. This says nothing
     /// about the state of the member.
     NoConnection,
+    /// The member refused the request for the given reason.
+    Refused(MemberRefusal),
     /// The member could not be reached, did not answer, or sent a status that cannot
     /// be decoded.
     Failed,
 }
 
+impl AskError {
+    /// Returns the name used in logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NoConnection => "no_connection",
+            Self::Refused(refusal) => refusal.name(),
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What a status that may be the second answer to an earlier question counts as if the
 /// member takes no other connection for the question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -491,8 +504,10 @@
             }
         };
         self.record_answer(key, &answer, asked_at);
-        let row = answer.rows.first().filter(|_| answer.outcome.is_ok());
-        let status = row.map(|row| K::parse_status(row));
+        if let Err((refusal, _)) = answer.outcome {
+            return Err(AskError::Refused(refusal));
+        }
+        let status = answer.rows.first().map(|row| K::parse_status(row));
         match status {
             Some(Ok(status)) => {
                 self.observe_role(key, status.role == MemberRole::Primary);
@@ -506,7 +521,6 @@
                 );
                 Err(AskError::Failed)
             }
-            // A member whose slots are all in use also refuses the request.
             None => Err(AskError::NoConnection),
         }
     }
