--- a/crates/coordination/src/managed.rs
+++ b/crates/coordination/src/managed.rs
@@ -10,6 +10,7 @@
 pub mod allotment;
 pub mod change;
 pub mod change_steps;
+pub mod commit_proof;
 pub mod dispatch;
 pub mod era;
 pub mod forwarding;
--- a/crates/coordination/src/managed/change.rs
+++ b/crates/coordination/src/managed/change.rs
@@ -147,16 +147,8 @@
     replies: &[CandidateStatus],
     former: Option<MemberKey>,
 ) -> SuccessorDecision {
-    let term = group.primary_view.term();
-    let leading = replies
-        .iter()
-        .filter(|reply| reply.role == MemberRole::Primary && reply.term > term)
-        .max_by_key(|reply| reply.term);
-    if let Some(reply) = leading {
-        return SuccessorDecision::Leading {
-            member: reply.member,
-            term: reply.term,
-        };
+    if let Some(leading) = find_leading(group, replies) {
+        return leading;
     }
     let best = replies
         .iter()
@@ -174,3 +166,30 @@
         None => SuccessorDecision::NoCandidate,
     }
 }
+
+/// Returns the member that already is the primary of a later term, if there is one.
+pub fn find_leading(
+    group: &ManagedGroup,
+    replies: &[CandidateStatus],
+) -> Option<SuccessorDecision> {
+    let term = group.primary_view.term();
+    let leading = replies
+        .iter()
+        .filter(|reply| reply.role == MemberRole::Primary && reply.term > term)
+        .max_by_key(|reply| reply.term)?;
+    Some(SuccessorDecision::Leading {
+        member: leading.member,
+        term: leading.term,
+    })
+}
+
+/// Returns the member that takes over out of those that hold every acknowledged commit, and
+/// whether it is ready: a ready one before one that is about to stop.
+pub fn choose_holder(group: &ManagedGroup, holders: &[MemberKey]) -> Option<(MemberKey, bool)> {
+    let known = holders.iter().filter_map(|key| {
+        let server = &group.members.get(*key)?.server;
+        Some((server.state == ServerState::Ready, server, *key))
+    });
+    let best = known.max_by_key(|(is_ready, server, _)| (*is_ready, std::cmp::Reverse(&server.id)));
+    best.map(|(is_ready, _, key)| (key, is_ready))
+}
--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -9,11 +9,14 @@
 use std::time::{Duration, Instant};
 
 use state::keys::MemberKey;
-use state::log::{LogPosition, Term};
+use state::log::Term;
 use state::member::MemberRole;
 use state::reading::StoreRevision;
 
-use crate::managed::change::{choose_successor, CandidateStatus, ChangeReason, SuccessorDecision};
+use crate::managed::change::{
+    choose_holder, choose_successor, find_leading, CandidateStatus, ChangeReason, SuccessorDecision,
+};
+use crate::managed::commit_proof::{find_holders, former_holds_all, LogEvidence, MissingCopies};
 use crate::managed::era::CONFIRMATION_MAX_AGE;
 use crate::managed::group::ManagedGroup;
 use crate::managed::primary_view::{AnnouncedChange, GroupRow, ASSURANCE_DURATION};
@@ -57,6 +60,8 @@
     EraEnded,
     /// No member can take over.
     NoCandidate,
+    /// No member that answered is shown to hold every acknowledged commit.
+    CommitsMissing(MissingCopies),
     /// The promotion did not take effect in time.
     NotPromoted,
 }
@@ -70,11 +75,27 @@
             Self::LeaseEnded => formatter.write_str("the duty has ended"),
             Self::EraEnded => formatter.write_str("the store returned from an older copy"),
             Self::NoCandidate => formatter.write_str("no member can take over"),
+            Self::CommitsMissing(missing) => write!(
+                formatter,
+                "no member is shown to hold every acknowledged commit: {missing}"
+            ),
             Self::NotPromoted => formatter.write_str("the promotion did not take effect"),
         }
     }
 }
 
+/// How members are asked for their status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatusQuestion {
+    /// A status question. It takes a slot of the member, which may refuse it as busy.
+    Status,
+    /// A request to step down below the given term. It takes no slot and changes nothing
+    /// but a primary of an earlier term.
+    StepDownBelow(Term),
+    /// A request to receive nothing from a primary below the given term, until a promotion.
+    PauseBelow(Term),
+}
+
 /// The next step, which the caller has to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChangeStep {
@@ -102,10 +123,19 @@
         /// First term in which it must not lead.
         term: Term,
     },
-    /// Ask the listed members for their status.
+    /// Ask members for their status.
     PollMembers {
-        /// Key of the former primary, which is not asked.
-        former: Option<MemberKey>,
+        /// Keys of the members.
+        members: Vec<MemberKey>,
+        /// How they are asked.
+        question: StatusQuestion,
+    },
+    /// Read the list of backend servers from the store and apply it to the group.
+    ReadMembers,
+    /// Let members receive again that may have been paused.
+    ResumeMembers {
+        /// Keys of the members.
+        members: Vec<MemberKey>,
     },
     /// Order the promotion of a member.
     Promote {
@@ -118,6 +148,8 @@
     AskStatus {
         /// Key of the member.
         member: MemberKey,
+        /// How it is asked.
+        question: StatusQuestion,
     },
     /// Wait until an instant, which may be in the past.
     Wait {
@@ -162,11 +194,20 @@
     },
     /// A row did not have the expected revision; nothing was written.
     Conflict,
-    /// The end of the former primary's log when it stepped down, or `None` if it
-    /// did not confirm that it stepped down.
-    SteppedDown(Option<LogPosition>),
+    /// The answer of the former primary to the request to step down, or `None` if it did not
+    /// answer.
+    SteppedDown(Option<CandidateStatus>),
     /// The status of each polled member that answered.
     Polled(Vec<CandidateStatus>),
+    /// The list of backend servers was read and applied.
+    MembersRead,
+    /// The list could not be read.
+    MembersUnknown,
+    /// Members received a request to go on receiving, or did not answer it.
+    Resumed {
+        /// Keys of the members that did not answer.
+        silent: Vec<MemberKey>,
+    },
     /// The answer to a promotion order.
     Ordered(OrderOutcome),
     /// Role and term of a member, or `None` if it did not answer.
@@ -196,9 +237,15 @@
     /// The other hosts get time to read the announcement of an orderly change.
     AwaitingNotice,
     SteppingDown,
+    /// All assurances of a primary that did not step down have to end before the members
+    /// are asked which commits they hold.
+    AwaitingLastCommit,
     Polling,
     /// The best candidate has not received the whole log yet.
     AwaitingCatchUp,
+    /// The list is read after the answers of a poll: a member that has restarted without
+    /// its data, or that has joined, must not be missed.
+    ReadingMembers,
     /// All assurances of a primary that did not step down have to end before this
     /// member is promoted.
     AwaitingFence(MemberKey),
@@ -212,6 +259,10 @@
     AskingSuccessor(MemberKey),
     /// The successor does not lead yet and is about to be asked again.
     AwaitingSuccessor(MemberKey),
+    /// A member leads that this attempt did not promote; the others may still be paused.
+    Resuming(MemberKey, Term),
+    /// Some of them did not answer and are about to be asked again.
+    AwaitingResume(MemberKey, Term),
     /// The successor leads; all assurances of the former primary have to end
     /// before its row is written.
     AwaitingEnd(MemberKey, Term),
@@ -219,6 +270,15 @@
     Finishing,
 }
 
+/// What the choice among members that hold every acknowledged commit is based on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HolderCheck {
+    /// The members' answers.
+    Answered,
+    /// The answers and a list of the members that was read after them.
+    Listed,
+}
+
 /// One attempt of a host to change the primary of a group.
 ///
 /// # Invariants
@@ -227,6 +287,11 @@
 /// the store acknowledged the announcement, and either after the former primary
 /// stepped down or after every assurance of it has ended. The successor's row is
 /// written only after every assurance of the former primary has ended.
+///
+/// If commits are acknowledged once replicas have received them, a member is promoted only
+/// if `commit_proof` shows that it holds all of them, by answers that were asked for after
+/// the former primary stepped down or after every assurance of it had ended, and by a list
+/// of the members that was read after these answers.
 #[derive(Clone, Debug)]
 pub struct ChangeProcedure {
     host: String,
@@ -236,8 +301,15 @@
     phase: StepPhase,
     lease: Option<HeldLease>,
     announcement: Option<Announcement>,
-    /// End of the former primary's log when it stepped down.
-    step_down_end: Option<LogPosition>,
+    /// Status of the former primary after it stepped down.
+    stepped_down: Option<CandidateStatus>,
+    /// Newest answer of each member in the polls so far.
+    replies: Vec<CandidateStatus>,
+    /// Term below which members that were asked receive nothing; above every term that an
+    /// answer showed.
+    pause_term: Term,
+    /// Members that may still be paused although a primary leads.
+    paused: Vec<MemberKey>,
     /// Instant until which the procedure waits for a candidate to catch up, or for
     /// the successor to lead.
     phase_deadline: Option<Instant>,
@@ -257,7 +329,10 @@
             phase: StepPhase::Start,
             lease: None,
             announcement: None,
-            step_down_end: None,
+            stepped_down: None,
+            replies: Vec::new(),
+            pause_term: Term::default(),
+            paused: Vec::new(),
             phase_deadline: None,
             pending_row: None,
         }
@@ -284,13 +359,17 @@
                 ChangeStep::Fail(ChangeFailure::Conflict)
             }
             (Phase::AwaitingNotice, Outcome::Waited) => self.step_down(group, now),
-            (Phase::SteppingDown, Outcome::SteppedDown(end)) => {
-                self.step_down_end = end;
-                self.phase_deadline = Some(now + CATCH_UP_TIMEOUT);
+            (Phase::SteppingDown, Outcome::SteppedDown(status)) => {
+                self.handle_step_down(group, status, now)
+            }
+            (Phase::AwaitingLastCommit | Phase::AwaitingCatchUp, Outcome::Waited) => {
                 self.poll_members(group)
             }
-            (Phase::AwaitingCatchUp, Outcome::Waited) => self.poll_members(group),
             (Phase::Polling, Outcome::Polled(replies)) => self.evaluate_poll(group, &replies, now),
+            (Phase::ReadingMembers, Outcome::MembersRead) => {
+                self.evaluate_holders(group, HolderCheck::Listed, now)
+            }
+            (Phase::ReadingMembers, Outcome::MembersUnknown) => self.poll_again(now),
             (Phase::AwaitingFence(member) | Phase::AwaitingResend(member), Outcome::Waited) => {
                 self.confirm(member, now)
             }
@@ -299,12 +378,20 @@
             }
             (Phase::Confirming(member), Outcome::LeaseUnknown) => self.wait_to_confirm(member, now),
             (Phase::Ordering(member), Outcome::Ordered(outcome)) => {
-                self.handle_order_outcome(member, outcome, now)
+                self.handle_order_outcome(group, member, outcome, now)
+            }
+            (Phase::AwaitingSuccessor(member), Outcome::Waited) => {
+                self.ask_successor(group, member)
             }
-            (Phase::AwaitingSuccessor(member), Outcome::Waited) => self.ask_successor(member),
             (Phase::AskingSuccessor(member), Outcome::Status(status)) => {
                 self.handle_successor_status(member, status, now)
             }
+            (Phase::Resuming(member, term), Outcome::Resumed { silent }) => {
+                self.handle_resumed(group, member, term, silent, now)
+            }
+            (Phase::AwaitingResume(member, term), Outcome::Waited) => {
+                self.resume_members(member, term)
+            }
             (Phase::AwaitingEnd(member, term), Outcome::Waited) => self.finish(group, member, term),
             (Phase::Finishing, Outcome::Written { .. }) => match self.pending_row.take() {
                 Some(row) => ChangeStep::Done {
@@ -397,7 +484,11 @@
                 self.enter(StepPhase::AwaitingNotice, ChangeStep::Wait { until })
             }
             ChangeReason::Restored => {
-                self.enter(StepPhase::Polling, ChangeStep::PollMembers { former: None })
+                let step = ChangeStep::PollMembers {
+                    members: group.members.keys().collect(),
+                    question: StatusQuestion::Status,
+                };
+                self.enter(StepPhase::Polling, step)
             }
             _ => self.step_down(group, now),
         }
@@ -411,8 +502,7 @@
     fn step_down(&mut self, group: &ManagedGroup, now: Instant) -> ChangeStep {
         let former = self.former_key(group).zip(self.announcement.as_ref());
         let Some((member, announcement)) = former else {
-            self.phase_deadline = Some(now + CATCH_UP_TIMEOUT);
-            return self.poll_members(group);
+            return self.begin_polls(group, now);
         };
         // A stored row may hold any term. A primary of the largest one does not step down,
         // so that all assurances have to end first.
@@ -421,9 +511,67 @@
         self.enter(StepPhase::SteppingDown, step)
     }
 
+    fn handle_step_down(
+        &mut self,
+        group: &ManagedGroup,
+        status: Option<CandidateStatus>,
+        now: Instant,
+    ) -> ChangeStep {
+        if let Some(status) = status.filter(|status| status.role == MemberRole::Primary) {
+            // An earlier attempt let the former primary take over again.
+            let former = self.announcement.as_ref().map(|known| known.former.term);
+            if group.required_copies() > 0 && Some(status.term) > former {
+                return self.follow(group, status.member, status.term);
+            }
+        }
+        self.stepped_down = status.filter(|status| status.role == MemberRole::Replica);
+        self.begin_polls(group, now)
+    }
+
+    fn begin_polls(&mut self, group: &ManagedGroup, now: Instant) -> ChangeStep {
+        if self.stepped_down.is_none() && group.required_copies() > 0 {
+            let until = self.end_of_assurances(now) + FENCE_MARGIN;
+            return self.enter(StepPhase::AwaitingLastCommit, ChangeStep::Wait { until });
+        }
+        self.phase_deadline = Some(now + CATCH_UP_TIMEOUT);
+        self.poll_members(group)
+    }
+
+    /// Asks all members but the former primary. While the former primary may go on, the
+    /// answers of members that receive nothing stay valid, and only the others are asked.
     fn poll_members(&mut self, group: &ManagedGroup) -> ChangeStep {
         let former = self.former_key(group);
-        self.enter(StepPhase::Polling, ChangeStep::PollMembers { former })
+        let question = self.poll_question(group);
+        let keeps_answers = matches!(question, StatusQuestion::PauseBelow(_));
+        let is_known = |key| keeps_answers && self.replies.iter().any(|one| one.member == key);
+        let members = group.members.keys();
+        let members = members
+            .filter(|key| Some(*key) != former && !is_known(*key))
+            .collect();
+        let step = ChangeStep::PollMembers { members, question };
+        self.enter(StepPhase::Polling, step)
+    }
+
+    /// Returns how the members are polled. Where none may be replaced by another one, the
+    /// question must not depend on a free slot.
+    fn poll_question(&mut self, group: &ManagedGroup) -> StatusQuestion {
+        match self.successor_question(group) {
+            StatusQuestion::StepDownBelow(term) if self.stepped_down.is_none() => {
+                let next = Term(term.0.saturating_add(1));
+                self.pause_term = self.pause_term.max(next);
+                StatusQuestion::PauseBelow(self.pause_term)
+            }
+            question => question,
+        }
+    }
+
+    fn successor_question(&self, group: &ManagedGroup) -> StatusQuestion {
+        match &self.announcement {
+            Some(announcement) if group.required_copies() > 0 => {
+                StatusQuestion::StepDownBelow(announcement.former.term)
+            }
+            _ => StatusQuestion::Status,
+        }
     }
 
     /// Chooses the successor. If the former primary stepped down, a candidate that
@@ -438,27 +586,155 @@
         if self.reason == ChangeReason::Restored {
             return self.evaluate_restored(group, replies);
         }
+        if group.required_copies() > 0 {
+            for reply in replies {
+                self.replies.retain(|known| known.member != reply.member);
+                self.replies.push(*reply);
+            }
+            return self.evaluate_holders(group, HolderCheck::Answered, now);
+        }
         let member = match choose_successor(group, replies, self.former_key(group)) {
             SuccessorDecision::Leading { member, term } => return self.await_end(member, term),
             SuccessorDecision::Promote { member } => member,
             SuccessorDecision::NoCandidate => return ChangeStep::Fail(ChangeFailure::NoCandidate),
         };
         let received = replies.iter().find(|reply| reply.member == member);
-        let is_complete = match (self.step_down_end, received) {
-            (Some(end), Some(reply)) => reply.received >= end,
+        let is_complete = match (&self.stepped_down, received) {
+            (Some(former), Some(reply)) => reply.received >= former.received,
             _ => true,
         };
-        if !is_complete && self.phase_deadline.is_some_and(|instant| now < instant) {
-            let until = now + POLL_INTERVAL;
-            return self.enter(StepPhase::AwaitingCatchUp, ChangeStep::Wait { until });
+        if !is_complete && self.may_catch_up(now) {
+            return self.poll_again(now);
         }
-        if self.step_down_end.is_some() {
+        if self.stepped_down.is_some() {
             return self.confirm(member, now);
         }
         let until = self.end_of_assurances(now) + FENCE_MARGIN;
         self.enter(StepPhase::AwaitingFence(member), ChangeStep::Wait { until })
     }
 
+    /// Chooses the successor among the members that hold every acknowledged commit. Until
+    /// one is found, the members are asked again while the lease lasts. The former primary
+    /// takes over again if it stepped down and no other member holds its commits.
+    fn evaluate_holders(
+        &mut self,
+        group: &ManagedGroup,
+        check: HolderCheck,
+        now: Instant,
+    ) -> ChangeStep {
+        let Some(announcement) = &self.announcement else {
+            return ChangeStep::Fail(ChangeFailure::Conflict);
+        };
+        if let Some(SuccessorDecision::Leading { member, term }) =
+            find_leading(group, &self.replies)
+        {
+            return self.follow(group, member, term);
+        }
+        let newest = self.replies.iter().map(|reply| reply.term).max();
+        let is_unpaused = self.stepped_down.is_none() && newest >= Some(self.pause_term);
+        if is_unpaused || self.stepped_down.is_some() && newest > Some(announcement.former.term) {
+            // Another member was promoted meanwhile, which may go on instead of the former
+            // primary.
+            self.pause_term = newest.map_or(self.pause_term, |term| Term(term.0.saturating_add(1)));
+            self.stepped_down = None;
+            self.replies.clear();
+            return match self.holds_lease(now) {
+                true => self.begin_polls(group, now),
+                false => ChangeStep::Fail(ChangeFailure::LeaseEnded),
+            };
+        }
+        let evidence = LogEvidence {
+            former: &announcement.former.primary,
+            former_term: announcement.former.term,
+            stepped_down: self.stepped_down,
+            replies: &self.replies,
+        };
+        let found = find_holders(group, group.required_copies(), &evidence);
+        let may_catch_up = self.may_catch_up(now);
+        if let Ok(holders) = &found {
+            let successor = choose_holder(group, &holders.members);
+            let successor = successor.filter(|(_, is_ready)| {
+                let is_preferred = holders.is_whole_log && *is_ready;
+                is_preferred || !may_catch_up
+            });
+            if let Some((member, _)) = successor {
+                return self.take_holder(member, check, now);
+            }
+        }
+        if may_catch_up {
+            return self.poll_again(now);
+        }
+        let holds_all = former_holds_all(group, &evidence);
+        let former = self.stepped_down.map(|status| status.member);
+        if let Some(member) = former.filter(|key| holds_all && group.members.contains_key(*key)) {
+            return self.take_holder(member, check, now);
+        }
+        match found {
+            Err(missing) if !self.holds_lease(now) => {
+                ChangeStep::Fail(ChangeFailure::CommitsMissing(missing))
+            }
+            _ => self.poll_again(now),
+        }
+    }
+
+    /// Takes over a primary that this attempt did not promote. Members that were paused
+    /// without its promotion have to go on receiving.
+    fn follow(&mut self, group: &ManagedGroup, member: MemberKey, term: Term) -> ChangeStep {
+        let others = group.members.keys();
+        self.paused = others.filter(|key| *key != member).collect();
+        self.resume_members(member, term)
+    }
+
+    fn resume_members(&mut self, member: MemberKey, term: Term) -> ChangeStep {
+        let members = self.paused.clone();
+        self.enter(
+            StepPhase::Resuming(member, term),
+            ChangeStep::ResumeMembers { members },
+        )
+    }
+
+    fn handle_resumed(
+        &mut self,
+        group: &ManagedGroup,
+        member: MemberKey,
+        term: Term,
+        silent: Vec<MemberKey>,
+        now: Instant,
+    ) -> ChangeStep {
+        self.paused = silent;
+        self.paused.retain(|key| group.members.contains_key(*key));
+        if self.paused.is_empty() || !self.holds_lease(now) {
+            return self.await_end(member, term);
+        }
+        let until = now + POLL_INTERVAL;
+        self.enter(
+            StepPhase::AwaitingResume(member, term),
+            ChangeStep::Wait { until },
+        )
+    }
+
+    fn take_holder(&mut self, member: MemberKey, check: HolderCheck, now: Instant) -> ChangeStep {
+        match check {
+            HolderCheck::Answered => self.enter(StepPhase::ReadingMembers, ChangeStep::ReadMembers),
+            HolderCheck::Listed => self.confirm(member, now),
+        }
+    }
+
+    /// Returns whether members may still receive the rest of the log of a primary that
+    /// stepped down.
+    fn may_catch_up(&self, now: Instant) -> bool {
+        self.stepped_down.is_some() && self.phase_deadline.is_some_and(|instant| now < instant)
+    }
+
+    fn poll_again(&mut self, now: Instant) -> ChangeStep {
+        let until = now + POLL_INTERVAL;
+        self.enter(StepPhase::AwaitingCatchUp, ChangeStep::Wait { until })
+    }
+
+    fn holds_lease(&self, now: Instant) -> bool {
+        self.lease.is_some_and(|lease| lease.allows_call(now))
+    }
+
     /// Lets the row of the newest primary that answered be written again; it must not be
     /// behind the one that this host knows.
     fn evaluate_restored(
@@ -485,7 +761,7 @@
     /// Reads the lease row before an order: if the store returned from an older copy
     /// since the announcement, other hosts may not know of the change any more.
     fn confirm(&mut self, member: MemberKey, now: Instant) -> ChangeStep {
-        if !self.lease.is_some_and(|lease| lease.allows_call(now)) {
+        if !self.holds_lease(now) {
             return ChangeStep::Fail(ChangeFailure::LeaseEnded);
         }
         self.enter(StepPhase::Confirming(member), ChangeStep::ReadLease)
@@ -538,6 +814,7 @@
     /// sent again, which has no effect if the member leads already.
     fn handle_order_outcome(
         &mut self,
+        group: &ManagedGroup,
         member: MemberKey,
         outcome: OrderOutcome,
         now: Instant,
@@ -545,15 +822,16 @@
         match outcome {
             OrderOutcome::Accepted => {
                 self.phase_deadline = Some(now + PROMOTION_TIMEOUT);
-                self.ask_successor(member)
+                self.ask_successor(group, member)
             }
             OrderOutcome::Rejected => ChangeStep::Fail(ChangeFailure::NoCandidate),
             OrderOutcome::Unknown => self.wait_to_confirm(member, now),
         }
     }
 
-    fn ask_successor(&mut self, member: MemberKey) -> ChangeStep {
-        let step = ChangeStep::AskStatus { member };
+    fn ask_successor(&mut self, group: &ManagedGroup, member: MemberKey) -> ChangeStep {
+        let question = self.successor_question(group);
+        let step = ChangeStep::AskStatus { member, question };
         self.enter(StepPhase::AskingSuccessor(member), step)
     }
 
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
@@ -178,6 +179,17 @@
             || answered_at.is_some_and(|at| is_recent(at, ANSWER_MAX_AGE))
     }
 
+    /// Returns the member's copy of the log as one that was found lost at `now`.
+    fn lost_copy(&self, now: Instant) -> LostCopy {
+        LostCopy {
+            member: self.server.id.clone(),
+            address: self.server.address,
+            position: self.position,
+            is_handed_on: self.server.state == ServerState::Draining,
+            until: now,
+        }
+    }
+
     /// Records that a statement was sent at `now`.
     pub fn record_sent(&mut self, now: Instant) {
         self.in_flight += 1;
@@ -216,6 +228,21 @@
     removed_at: Instant,
 }
 
+/// A copy of the log that a member held until it left or started again without its data.
+#[derive(Clone, Debug)]
+struct LostCopy {
+    /// Identity of the member.
+    member: String,
+    address: SocketAddr,
+    /// Highest log position in the member's answers.
+    position: LogPosition,
+    /// Whether the member was about to stop, so that its log is handed on to a new member at
+    /// its address.
+    is_handed_on: bool,
+    /// Instant up to which commits may have been acknowledged because this copy had them.
+    until: Instant,
+}
+
 /// A change of the member list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListEvent {
@@ -236,12 +263,21 @@
     pub members: SlotMap<MemberKey, ManagedMember>,
     /// Members that were removed from the list lately, by identity.
     departed: HashMap<String, DepartedMember>,
+    /// Copies of the log that were lost lately.
+    lost_copies: Vec<LostCopy>,
+    /// Number of replicas that hold a commit before the primary acknowledges it; `None`
+    /// before the plan is known.
+    sync_replicas: Option<u32>,
+    /// When the replicas were last asked whether they are paused.
+    pub pauses_checked_at: Option<Instant>,
     /// The primary and its assurance.
     pub primary_view: PrimaryView,
     /// Instant at which the current primary and term were first seen.
     term_seen_at: Option<Instant>,
     /// Instant at which the newest list was received.
     listed_at: Option<Instant>,
+    /// Whether that was soon after a return of the store.
+    is_list_incomplete: bool,
     watermark_history: WatermarkHistory,
 }
 
@@ -262,6 +298,61 @@
             .and_then(|(id, _)| self.find(id))
     }
 
+    /// Sets how many replicas hold a commit before the primary acknowledges it.
+    pub fn set_sync_replicas(&mut self, count: u32) {
+        self.sync_replicas = Some(count);
+    }
+
+    /// Returns how many replicas have received each acknowledged commit. While the plan is
+    /// not known, one is assumed, so that no commit is given up by mistake.
+    pub fn required_copies(&self) -> u32 {
+        self.sync_replicas.unwrap_or(1)
+    }
+
+    /// Returns whether the newest list may lack members, because the store had returned
+    /// shortly before.
+    pub fn is_list_incomplete(&self) -> bool {
+        self.is_list_incomplete
+    }
+
+    /// Returns the members, other than `former`, whose copies of the log were lost and may
+    /// have held an acknowledged commit that a member lacks which received the log up to
+    /// `newest`. `received` returns what a member has received by its identity, if it
+    /// answered.
+    ///
+    /// A copy is covered by a log with all that the primary had committed when the copy was
+    /// found lost. If the primary showed nothing since, nothing was received since either,
+    /// and a member that still reaches the position that it showed before, or else the one
+    /// that the primary showed last, has kept its log.
+    pub fn uncovered_copies(
+        &self,
+        former: &str,
+        newest: Option<LogPosition>,
+        received: impl Fn(&str) -> Option<LogPosition>,
+    ) -> Vec<String> {
+        let is_handed_on = |copy: &LostCopy| {
+            let mut members = self.members.values();
+            copy.is_handed_on
+                && members.any(|heir| {
+                    let is_heir = heir.server.address == copy.address;
+                    is_heir && heir.server.id != copy.member && heir.position >= copy.position
+                })
+        };
+        let is_covered = |copy: &LostCopy| match self.position_at(copy.until) {
+            Some(committed) => newest >= Some(committed),
+            None => {
+                let known = Some(copy.position).filter(|at| *at > LogPosition::START);
+                let known = known.or(self.newest_watermark());
+                known.is_some() && received(&copy.member) >= known
+            }
+        };
+        let copies = self.lost_copies.iter();
+        copies
+            .filter(|copy| copy.member != former && !is_handed_on(copy) && !is_covered(copy))
+            .map(|copy| copy.member.clone())
+            .collect()
+    }
+
     /// Records a reading of the group's row.
     pub fn observe_row(&mut self, reading: &RowReading<'_>, now: Instant) -> Option<PrimaryEvent> {
         let event = self.primary_view.observe_row(reading);
@@ -294,13 +385,15 @@
     ) -> Vec<ListEvent> {
         let mut events = Vec::new();
         self.listed_at = Some(now);
-        self.departed
-            .retain(|_, one| now.saturating_duration_since(one.removed_at) < DEPARTED_MEMORY);
+        let is_remembered = |at: Instant| now.saturating_duration_since(at) < DEPARTED_MEMORY;
+        self.departed.retain(|_, one| is_remembered(one.removed_at));
+        self.lost_copies.retain(|copy| is_remembered(copy.until));
         let in_grace = returned_at.is_some_and(|instant| now < instant + RELIST_GRACE);
+        self.is_list_incomplete = in_grace;
         for server in servers {
             self.apply_server(server, in_grace, now, &mut events);
         }
-        let departed = &mut self.departed;
+        let (departed, lost_copies) = (&mut self.departed, &mut self.lost_copies);
         self.members.retain(|_, member| {
             if servers.iter().any(|server| server.id == member.server.id) {
                 return true;
@@ -315,6 +408,7 @@
             }
             let server = member.server.clone();
             events.push(ListEvent::Removed(server.id.clone()));
+            lost_copies.push(member.lost_copy(now));
             let removed_at = now;
             departed.insert(server.id.clone(), DepartedMember { server, removed_at });
             false
@@ -350,6 +444,8 @@
         if member.server.started_ms != server.started_ms || member.server.address != server.address
         {
             events.push(ListEvent::Restarted(server.id.clone()));
+            let copy = member.lost_copy(now);
+            self.lost_copies.push(copy);
             self.members.remove(key);
             self.members.insert(ManagedMember::new(server.clone(), now));
             return;
@@ -573,6 +669,12 @@
         self.position_at(self.term_seen_at?)
     }
 
+    /// Returns the newest position that an assured primary showed.
+    pub fn newest_watermark(&self) -> Option<LogPosition> {
+        let newest = self.watermark_history.watermarks().last();
+        newest.map(|watermark| watermark.position)
+    }
+
     /// Returns the instant up to which the newest watermark covers commits.
     pub fn newest_watermark_at(&self) -> Option<Instant> {
         self.watermark_history
--- a/crates/coordination/src/managed/primary_view.rs
+++ b/crates/coordination/src/managed/primary_view.rs
@@ -82,7 +82,8 @@
 pub struct RoundReply<'a> {
     /// Identity of the member.
     pub member: &'a str,
-    /// Role and newest term; `None` if the member did not answer.
+    /// Role and newest term, also one for which the member is paused; `None` if it did not
+    /// answer.
     pub answer: Option<(MemberRole, Term)>,
 }
 
--- a/crates/coordination/src/managed/probe.rs
+++ b/crates/coordination/src/managed/probe.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use state::keys::MemberKey;
+use state::log::Term;
 
 use crate::managed::group::ManagedGroup;
 
@@ -29,6 +30,10 @@
 /// it within a reading interval and the 1 s in which former assurances end.
 const SERVED_RESTORE_DELAY: Duration = Duration::from_secs(3);
 
+/// Interval at which replicas are asked whether they are paused. A request to pause that
+/// was delayed may reach a replica after the promotion that ends all pauses.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Which part of the questions falls to a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeDuty {
@@ -59,6 +64,33 @@
     view.row().is_some() && !is_assured
 }
 
+/// Returns the replicas that have to be asked whether they are paused without a change of
+/// primary, and the term of the primary. A group without synchronous replicas pauses none.
+pub fn replicas_to_resume(
+    group: &ManagedGroup,
+    duty: ProbeDuty,
+    now: Instant,
+) -> Option<(Vec<MemberKey>, Term)> {
+    let view = &group.primary_view;
+    let (primary, term) = view.primary().filter(|_| !view.is_changing())?;
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < PAUSE_CHECK_INTERVAL;
+    if duty == ProbeDuty::Served
+        || group.required_copies() == 0
+        || group.pauses_checked_at.is_some_and(is_recent)
+    {
+        return None;
+    }
+    let replicas = group.members.iter();
+    let replicas = replicas.filter(|(_, member)| member.server.id != primary);
+    Some((replicas.map(|(key, _)| key).collect(), term))
+}
+
+/// Returns whether a replica is paused by a change that has ended: the primary of `term`
+/// leads.
+pub fn is_pause_outdated(paused_below: Term, term: Term) -> bool {
+    paused_below > Term::default() && paused_below <= term
+}
+
 /// Returns the primary if it has to be asked for its status: neither traffic nor
 /// another host showed its position recently, or its last answer failed.
 pub fn primary_to_probe(group: &ManagedGroup, duty: ProbeDuty, now: Instant) -> Option<MemberKey> {
--- a/crates/coordination/tests/managed_era.rs
+++ b/crates/coordination/tests/managed_era.rs
@@ -10,7 +10,7 @@
 
 use coordination::managed::change::{reason_to_change, CandidateStatus, ChangeReason};
 use coordination::managed::change_steps::{
-    ChangeFailure, ChangeProcedure, ChangeStep, StepOutcome,
+    ChangeFailure, ChangeProcedure, ChangeStep, StatusQuestion, StepOutcome,
 };
 use coordination::managed::era::{
     marked_era, marker_key, EraMarker, EraRow, ORDER_DELAY, SETTLE_TIME,
@@ -271,7 +271,11 @@
     let (announced, step) = driver.announce();
     expect_that!(announced.primary.as_str(), eq("a"));
     expect_that!(announced.progress(), eq((Term(1), true)));
-    expect_that!(step, eq(&ChangeStep::PollMembers { former: None }));
+    let asked = ChangeStep::PollMembers {
+        members: driver.group.members.keys().collect(),
+        question: StatusQuestion::Status,
+    };
+    expect_that!(step, eq(&asked));
     let replies = vec![
         driver.status("a", MemberRole::Replica, 2),
         driver.status("b", MemberRole::Primary, 2),
@@ -340,8 +344,8 @@
         group.observe_row(&reading(&row, second(9), now), now);
         let mut driver = EraDriver::new(group, ChangeReason::Unreachable, now);
         driver.announce();
-        let end = Some(LogPosition::new(1, 40));
-        driver.next(StepOutcome::SteppedDown(end), 30);
+        let stepped_down = driver.status("a", MemberRole::Replica, 1);
+        driver.next(StepOutcome::SteppedDown(Some(stepped_down)), 30);
         let replies = vec![driver.status("b", MemberRole::Replica, 1)];
         let step = driver.next(StepOutcome::Polled(replies), 40);
         expect_that!(step, eq(&ChangeStep::ReadLease), "{}", case.name);
--- a/crates/coordination/tests/managed_model.rs
+++ b/crates/coordination/tests/managed_model.rs
@@ -58,6 +58,8 @@
         KeepCondition,
         /// A row without a change assures its primary in an era that is not settled.
         TrustAtOnce,
+        /// A member is promoted by the answers of one poll, whichever they are.
+        AnyCandidate,
     }
 
     /// A rule that a run broke.
@@ -72,6 +74,9 @@
         OverlappingHolders,
         /// Writes were not acknowledged in time after the last fault.
         NoRecovery,
+        /// A commit that a replica had to receive first was acknowledged, and the log of a
+        /// member that was promoted lacks it.
+        LostCommit,
     }
 
     /// Which faults a run draws from.
@@ -81,6 +86,9 @@
         Durable,
         /// The store also returns from older copies.
         Returning,
+        /// A commit is acknowledged once one replica has received it. Replicas receive
+        /// nothing for a while, and members refuse status questions as busy.
+        Synchronous,
     }
 
     #[derive(Clone, Debug)]
@@ -117,6 +125,10 @@
         StepDown {
             term: Term,
         },
+        Pause {
+            term: Term,
+        },
+        Resume,
     }
 
     #[derive(Clone, Debug)]
@@ -159,9 +171,12 @@
             role: MemberRole,
             term: Term,
             position: LogPosition,
+            /// Term below which the member receives nothing; 0 if it is not paused.
+            paused_below: Term,
         },
         ReadOnly,
         Lagging,
+        Busy,
         /// The request was not carried out: the store is down, or the member
         /// refused the connection.
         Unavailable,
@@ -254,6 +269,15 @@
     check_seeds(first, runs, Scenario::Returning);
 }
 
+/// Guards against the loss of an acknowledged commit when a member is promoted that has not
+/// received it, while the one that has is busy, silent, about to stop or gone.
+#[gtest]
+fn acknowledged_commits_survive_promotions_with_a_synchronous_replica() {
+    let first = env_number("CASSIA_SEED", FIRST_SEED);
+    let runs = env_number("CASSIA_RUNS", RUNS);
+    check_seeds(first, runs, Scenario::Synchronous);
+}
+
 fn check_seeds(first: u64, runs: u64, scenario: Scenario) {
     let reports = run_seeds(first, runs, Decision::Correct, scenario);
     let mut total = RunFigures::default();
@@ -353,10 +377,15 @@
             scenario: Scenario::Returning,
             expected: ViolationKind::SupersededCommit,
         },
+        WrongCase {
+            decision: Decision::AnyCandidate,
+            scenario: Scenario::Synchronous,
+            expected: ViolationKind::LostCommit,
+        },
     ];
     for case in cases {
         let wrong_runs = match case.scenario {
-            Scenario::Durable => WRONG_RUNS,
+            Scenario::Durable | Scenario::Synchronous => WRONG_RUNS,
             Scenario::Returning => WRONG_RETURN_RUNS,
         };
         let reports = run_seeds(FIRST_SEED, wrong_runs, case.decision, case.scenario);
--- a/crates/coordination/tests/managed_model/entry_host.rs
+++ b/crates/coordination/tests/managed_model/entry_host.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use coordination::managed::change::{reason_to_change, CandidateStatus};
-use coordination::managed::change_steps::{ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome};
+use coordination::managed::change_steps::{
+    ChangeProcedure, ChangeStep, OrderOutcome, StatusQuestion, StepOutcome,
+};
 use coordination::managed::dispatch::{
     choose_primary, choose_read, HostLocation, MemberChoice, RequestedRead,
 };
@@ -14,6 +16,7 @@
 use coordination::managed::primary_view::{
     AssuranceState, GroupRow, PrimaryView, RoundReply, RowReading,
 };
+use coordination::managed::probe::{is_pause_outdated, replicas_to_resume, ProbeDuty};
 use coordination::managed::promotion_lease::LeaseReading;
 use coordination::managed::spread::SelectionRule;
 use state::keys::MemberKey;
@@ -62,6 +65,8 @@
 enum CallKind {
     Rows,
     List,
+    /// The list, read in a change of primary.
+    ChangeList,
     Lease,
     Marker,
     ChangeWrite {
@@ -71,6 +76,9 @@
     SuccessorStatus(MemberKey),
     StepDown(MemberKey),
     Poll(MemberKey),
+    Resume(MemberKey),
+    /// Whether the member is paused without a change of the primary of this term.
+    PauseCheck(MemberKey, Term),
     Round(MemberKey),
     Probe(MemberKey),
     Statement {
@@ -90,6 +98,38 @@
     sent_at: Instant,
 }
 
+fn request_of(question: StatusQuestion) -> MemberRequest {
+    match question {
+        StatusQuestion::Status => MemberRequest::Status,
+        StatusQuestion::StepDownBelow(term) => MemberRequest::StepDown { term },
+        StatusQuestion::PauseBelow(term) => MemberRequest::Pause { term },
+    }
+}
+
+/// A member's answer to a status question.
+#[derive(Clone, Copy, Debug)]
+struct MemberStatus {
+    role: MemberRole,
+    term: Term,
+    position: LogPosition,
+    paused_below: Term,
+}
+
+impl MemberStatus {
+    fn newest_term(&self) -> Term {
+        self.term.max(self.paused_below)
+    }
+
+    fn of_candidate(&self, member: MemberKey) -> CandidateStatus {
+        CandidateStatus {
+            member,
+            role: self.role,
+            term: self.term,
+            received: self.position,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Round {
     asked_at: Instant,
@@ -102,11 +142,21 @@
     procedure: ChangeProcedure,
     awaited_replies: usize,
     replies: Vec<CandidateStatus>,
+    /// Members that did not answer a request to receive again.
+    silent: Vec<MemberKey>,
     row: Option<GroupRow>,
     /// Marker of the era in which the change began.
     marker: Option<EraMarker>,
 }
 
+impl RunningChange {
+    fn await_replies(&mut self, count: usize) {
+        self.awaited_replies = count;
+        self.replies.clear();
+        self.silent.clear();
+    }
+}
+
 /// An answered statement whose result is passed on once the primary is assured.
 #[derive(Debug)]
 struct PendingAnswer {
@@ -141,12 +191,18 @@
 }
 
 impl EntryHost {
-    pub fn new(index: usize, incarnation: u64, decision: Decision) -> Self {
+    pub fn new(index: usize, incarnation: u64, decision: Decision, sync_replicas: u32) -> Self {
+        let known_replicas = match decision {
+            Decision::AnyCandidate => 0,
+            _ => sync_replicas,
+        };
+        let mut group = ManagedGroup::default();
+        group.set_sync_replicas(known_replicas);
         Self {
             index,
             decision,
             incarnation,
-            group: ManagedGroup::default(),
+            group,
             calls: HashMap::new(),
             // Call numbers of different incarnations never match, so that late
             // answers to calls of a former incarnation are ignored.
@@ -209,6 +265,19 @@
         self.call(to, kind, Request::Member(request), timeout, now, out);
     }
 
+    fn ask_members(
+        &mut self,
+        members: &[MemberKey],
+        kind: fn(MemberKey) -> CallKind,
+        request: MemberRequest,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        for member in members {
+            self.ask_member(*member, kind(*member), request, now, out);
+        }
+    }
+
     /// Lets a question to a member that is no longer listed fail at once.
     fn fail_call(&mut self, kind: CallKind, now: Instant, out: &mut Outbox) {
         let id = self.next_call;
@@ -256,6 +325,7 @@
             self.start_round(now, out);
         }
         self.probe_primary(now, out);
+        self.check_pauses(now, out);
         if self.next_change_at.is_some_and(|instant| now < instant) {
             return;
         }
@@ -265,6 +335,7 @@
                 procedure: ChangeProcedure::new(&name, self.incarnation, reason),
                 awaited_replies: 0,
                 replies: Vec::new(),
+                silent: Vec::new(),
                 row: None,
                 marker: None,
             });
@@ -326,12 +397,32 @@
         }
     }
 
+    fn check_pauses(&mut self, now: Instant, out: &mut Outbox) {
+        let Some((replicas, term)) = replicas_to_resume(&self.group, ProbeDuty::Alone, now) else {
+            return;
+        };
+        self.group.pauses_checked_at = Some(now);
+        for member in replicas {
+            let request = MemberRequest::StepDown { term };
+            self.ask_member(
+                member,
+                CallKind::PauseCheck(member, term),
+                request,
+                now,
+                out,
+            );
+        }
+    }
+
     /// Takes the next step of the running change.
     fn step(&mut self, outcome: StepOutcome, now: Instant, out: &mut Outbox) {
         let Some(mut change) = self.change.take() else {
             return;
         };
         let step = change.procedure.next(&self.group, outcome, now);
+        let marker = change.marker;
+        // The outcome of a step that nobody answers.
+        let mut no_reply = None;
         match step {
             ChangeStep::Done { .. } => return,
             ChangeStep::Fail(_) => {
@@ -343,7 +434,6 @@
                 row,
                 expected_revision,
             } => {
-                let marker = change.marker;
                 self.write_row(RowValue::Lease(row), expected_revision, marker, now, out);
             }
             ChangeStep::WriteGroupRow {
@@ -351,38 +441,39 @@
                 expected_revision,
             } => {
                 change.row = Some(row.clone());
-                let marker = change.marker;
                 self.write_row(RowValue::Group(row), expected_revision, marker, now, out);
             }
             ChangeStep::StepDown { .. } if self.decision == Decision::NoFence => {
-                self.change = Some(change);
-                return self.step(StepOutcome::SteppedDown(None), now, out);
+                no_reply = Some(StepOutcome::SteppedDown(None));
             }
             ChangeStep::StepDown { member, term } => {
                 let request = MemberRequest::StepDown { term };
                 self.ask_member(member, CallKind::StepDown(member), request, now, out);
             }
-            ChangeStep::PollMembers { former } => {
-                change.replies.clear();
-                change.awaited_replies = self.poll_members(former, now, out);
-                if change.awaited_replies == 0 {
-                    self.change = Some(change);
-                    return self.step(StepOutcome::Polled(Vec::new()), now, out);
-                }
+            ChangeStep::PollMembers { members, question } => {
+                change.await_replies(members.len());
+                self.ask_members(&members, CallKind::Poll, request_of(question), now, out);
+                no_reply = members.is_empty().then(|| StepOutcome::Polled(Vec::new()));
+            }
+            ChangeStep::ResumeMembers { members } => {
+                change.await_replies(members.len());
+                self.ask_members(&members, CallKind::Resume, MemberRequest::Resume, now, out);
+                let silent = Vec::new();
+                no_reply = members
+                    .is_empty()
+                    .then_some(StepOutcome::Resumed { silent });
             }
+            ChangeStep::ReadMembers => self.read_members(now, out),
             ChangeStep::Promote {
                 member,
                 fencing_token,
             } => {
-                if !self.order(member, fencing_token, now, out) {
-                    self.change = Some(change);
-                    return self.step(StepOutcome::Ordered(OrderOutcome::Rejected), now, out);
-                }
+                no_reply = self.order(member, fencing_token, now, out);
             }
-            ChangeStep::AskStatus { member } => self.ask_member(
+            ChangeStep::AskStatus { member, question } => self.ask_member(
                 member,
                 CallKind::SuccessorStatus(member),
-                MemberRequest::Status,
+                request_of(question),
                 now,
                 out,
             ),
@@ -393,6 +484,13 @@
             }
         }
         self.change = Some(change);
+        if let Some(outcome) = no_reply {
+            self.step(outcome, now, out);
+        }
+    }
+
+    fn read_members(&mut self, now: Instant, out: &mut Outbox) {
+        self.ask_store(CallKind::ChangeList, Request::ReadList, now, out);
     }
 
     fn write_row(
@@ -419,10 +517,16 @@
         self.ask_store(kind, request, now, out);
     }
 
-    /// Orders a promotion; returns whether the member is still known.
-    fn order(&mut self, member: MemberKey, token: u64, now: Instant, out: &mut Outbox) -> bool {
+    /// Orders a promotion; returns the outcome if the member is no longer known.
+    fn order(
+        &mut self,
+        member: MemberKey,
+        token: u64,
+        now: Instant,
+        out: &mut Outbox,
+    ) -> Option<StepOutcome> {
         let Some(known) = self.group.members.get(member) else {
-            return false;
+            return Some(StepOutcome::Ordered(OrderOutcome::Rejected));
         };
         let request = Request::Promote {
             member: member_index(&known.server.id),
@@ -431,18 +535,7 @@
         };
         let to = Endpoint::Promotion;
         self.call(to, CallKind::Order, request, PLATFORM_TIMEOUT, now, out);
-        true
-    }
-
-    /// Asks all members but `former` for their status; returns the number asked.
-    fn poll_members(&mut self, former: Option<MemberKey>, now: Instant, out: &mut Outbox) -> usize {
-        let members = self.group.members.keys();
-        let members: Vec<MemberKey> = members.filter(|one| Some(*one) != former).collect();
-        for member in &members {
-            let kind = CallKind::Poll(*member);
-            self.ask_member(*member, kind, MemberRequest::Status, now, out);
-        }
-        members.len()
+        None
     }
 
     /// Handles the answer of a call, or `None` if the call timed out.
@@ -456,15 +549,16 @@
                 out.timers.push((now + interval, Timer::Rows));
             }
             CallKind::List => {
-                if let Some(Answer::List(servers)) = answer {
-                    let former = self.listed_at.replace(now);
-                    if former.is_some_and(|at| now - at > LIST_GAP) {
-                        self.returned_at = Some(now);
-                    }
-                    self.group.apply_list(&servers, self.returned_at, now);
-                }
+                self.apply_list(answer, now);
                 out.timers.push((now + LIST_INTERVAL, Timer::List));
             }
+            CallKind::ChangeList => {
+                let outcome = match self.apply_list(answer, now) {
+                    true => StepOutcome::MembersRead,
+                    false => StepOutcome::MembersUnknown,
+                };
+                self.step(outcome, now, out);
+            }
             // The next read shows whether the marker was written.
             CallKind::Marker => {}
             CallKind::Lease => self.finish_lease_read(answer, call.sent_at, now, out),
@@ -480,29 +574,32 @@
             }
             CallKind::SuccessorStatus(member) => {
                 let status = self.record_status(member, answer, call.sent_at, now);
-                let status = status.map(|(role, term, _)| (role, term));
+                let status = status.map(|status| (status.role, status.term));
                 self.step(StepOutcome::Status(status), now, out);
             }
             CallKind::StepDown(member) => {
                 let status = self.record_status(member, answer, call.sent_at, now);
-                let stepped = status.filter(|(role, ..)| *role == MemberRole::Replica);
-                let end = stepped.map(|(.., position)| position);
-                self.step(StepOutcome::SteppedDown(end), now, out);
+                let status = status.map(|status| status.of_candidate(member));
+                self.step(StepOutcome::SteppedDown(status), now, out);
             }
             CallKind::Poll(member) => {
                 let status = self.record_status(member, answer, call.sent_at, now);
                 self.handle_candidate_status(member, status, now, out);
             }
-            CallKind::Round(member) => {
-                let id = self.group.members.get(member);
-                let id = id.map_or_else(String::new, |one| one.server.id.clone());
+            CallKind::Resume(member) => {
+                let status = self.record_status(member, answer, call.sent_at, now);
+                self.handle_resumed(member, status.is_some(), now, out);
+            }
+            CallKind::PauseCheck(member, term) => {
                 let status = self.record_status(member, answer, call.sent_at, now);
-                if let Some(round) = &mut self.round {
-                    round.awaited_replies -= 1;
-                    let answer = status.map(|(role, term, _)| (role, term));
-                    round.replies.push((id, answer));
+                if status.is_some_and(|status| is_pause_outdated(status.paused_below, term)) {
+                    let kind = CallKind::Probe(member);
+                    self.ask_member(member, kind, MemberRequest::Resume, now, out);
                 }
-                self.finish_round(now);
+            }
+            CallKind::Round(member) => {
+                let status = self.record_status(member, answer, call.sent_at, now);
+                self.handle_round_reply(member, status, now);
             }
             CallKind::Probe(member) => {
                 self.record_status(member, answer, call.sent_at, now);
@@ -511,6 +608,55 @@
         }
     }
 
+    fn handle_resumed(
+        &mut self,
+        member: MemberKey,
+        answered: bool,
+        now: Instant,
+        out: &mut Outbox,
+    ) {
+        let Some(change) = &mut self.change else {
+            return;
+        };
+        change.awaited_replies -= 1;
+        if !answered {
+            change.silent.push(member);
+        }
+        if change.awaited_replies == 0 {
+            let silent = std::mem::take(&mut change.silent);
+            self.step(StepOutcome::Resumed { silent }, now, out);
+        }
+    }
+
+    fn handle_round_reply(
+        &mut self,
+        member: MemberKey,
+        status: Option<MemberStatus>,
+        now: Instant,
+    ) {
+        let id = self.group.members.get(member);
+        let id = id.map_or_else(String::new, |one| one.server.id.clone());
+        if let Some(round) = &mut self.round {
+            round.awaited_replies -= 1;
+            let answer = status.map(|status| (status.role, status.newest_term()));
+            round.replies.push((id, answer));
+        }
+        self.finish_round(now);
+    }
+
+    /// Applies an answer of the store to a read of the list. Returns whether it is one.
+    fn apply_list(&mut self, answer: Option<Answer>, now: Instant) -> bool {
+        let Some(Answer::List(servers)) = answer else {
+            return false;
+        };
+        let former = self.listed_at.replace(now);
+        if former.is_some_and(|at| now - at > LIST_GAP) {
+            self.returned_at = Some(now);
+        }
+        self.group.apply_list(&servers, self.returned_at, now);
+        true
+    }
+
     /// Records a reading of the store's rows. Returns whether it may be used; a reading
     /// of a former era may not.
     fn observe_rows(
@@ -666,7 +812,7 @@
     fn handle_candidate_status(
         &mut self,
         member: MemberKey,
-        status: Option<(MemberRole, Term, LogPosition)>,
+        status: Option<MemberStatus>,
         now: Instant,
         out: &mut Outbox,
     ) {
@@ -674,13 +820,8 @@
             return;
         };
         change.awaited_replies -= 1;
-        if let Some((role, term, received)) = status {
-            change.replies.push(CandidateStatus {
-                member,
-                role,
-                term,
-                received,
-            });
+        if let Some(status) = status {
+            change.replies.push(status.of_candidate(member));
         }
         if change.awaited_replies == 0 {
             let replies = std::mem::take(&mut change.replies);
@@ -694,11 +835,15 @@
         answer: Option<Answer>,
         asked_at: Instant,
         now: Instant,
-    ) -> Option<(MemberRole, Term, LogPosition)> {
+    ) -> Option<MemberStatus> {
+        if matches!(answer, Some(Answer::Busy)) {
+            return None;
+        }
         let Some(Answer::Status {
             role,
             term,
             position,
+            paused_below,
         }) = answer
         else {
             self.record_failure(member, answer.is_some(), asked_at, now);
@@ -712,7 +857,12 @@
                 .primary_view
                 .observe_role(&known.server.id, leads);
         }
-        Some((role, term, position))
+        Some(MemberStatus {
+            role,
+            term,
+            position,
+            paused_below,
+        })
     }
 
     fn record_failure(&mut self, member: MemberKey, refused: bool, sent_at: Instant, now: Instant) {
--- a/crates/coordination/tests/managed_model/faults.rs
+++ b/crates/coordination/tests/managed_model/faults.rs
@@ -40,6 +40,16 @@
     /// The same, while the primary reaches only one host, which restarts and does not
     /// know that the others have changed the primary.
     StoreReturnsInSplit(usize),
+    /// A member receives nothing.
+    Deaf(usize),
+    /// The same, and the primary crashes meanwhile.
+    DeafAndCrash(usize),
+    /// The same, and another replica restarts without its data before that crash.
+    DeafAndLost(usize),
+    /// A member refuses status questions as busy.
+    Busy(usize),
+    /// A member is about to stop, and then starts again with its log.
+    DrainMember(usize),
 }
 
 /// The effect of a fault until it ends.
@@ -52,6 +62,8 @@
     pub store_slow: bool,
     pub orders_lost: bool,
     pub lag: bool,
+    pub deaf: Option<usize>,
+    pub busy: Option<usize>,
 }
 
 /// Draws a fault of the scenario.
@@ -63,6 +75,16 @@
             _ => FaultKind::StoreReturnsInSplit(random.random_range(0..HOSTS)),
         };
     }
+    if scenario == Scenario::Synchronous && random.random_bool(0.5) {
+        let member = random.random_range(0..MEMBERS);
+        return match random.random_range(0..8) {
+            0 => FaultKind::Deaf(member),
+            1..=3 => FaultKind::DeafAndCrash(member),
+            4 => FaultKind::DeafAndLost(member),
+            5..=6 => FaultKind::Busy(member),
+            _ => FaultKind::DrainMember(member),
+        };
+    }
     let host = random.random_range(0..HOSTS);
     let member = random.random_range(0..MEMBERS);
     let kinds = [
--- a/crates/coordination/tests/managed_model/platform.rs
+++ b/crates/coordination/tests/managed_model/platform.rs
@@ -20,6 +20,8 @@
 /// Time without a heartbeat after which the store drops a member from the list:
 /// three heartbeat intervals.
 const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+/// Port of the first member.
+const FIRST_PORT: u16 = 5_432;
 pub const MEMBERS: usize = 3;
 
 /// An entry of a log.
@@ -40,6 +42,9 @@
     /// Probability that a replica applies its received log in a replication tick.
     pub apply_chance: f64,
     pub started_ms: u64,
+    /// Term below which the member receives nothing until the next promotion; 0 if it is not
+    /// paused.
+    paused_below: u64,
     heartbeat: u64,
     heartbeat_at: Instant,
     successor_seen_at: Option<Instant>,
@@ -137,6 +142,7 @@
             applied: 0,
             apply_chance: 0.5,
             started_ms: 1,
+            paused_below: 0,
             heartbeat: 0,
             heartbeat_at: base,
             successor_seen_at: None,
@@ -253,7 +259,7 @@
                 .map(|(index, one)| ListedServer {
                     id: member_id(index),
                     group: "birds".to_owned(),
-                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, 5432)),
+                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + index as u16)),
                     data_centre: format!("dc-{index}"),
                     state: match one.draining {
                         true => ServerState::Draining,
@@ -303,6 +309,16 @@
                 }
                 status(member)
             }
+            MemberRequest::Pause { term } => {
+                if !member.leads && term.0 > member.term {
+                    member.paused_below = term.0;
+                }
+                status(member)
+            }
+            MemberRequest::Resume => {
+                member.paused_below = 0;
+                status(member)
+            }
             MemberRequest::Status => status(member),
         }
     }
@@ -322,6 +338,9 @@
         member.applied = member.log.len();
         let term = member.term;
         self.promotions.push(Promotion { at: now, term });
+        for member in &mut self.members {
+            member.paused_below = 0;
+        }
     }
 
     /// Restarts a member. A replica that lost its data starts with an empty log.
@@ -335,6 +354,7 @@
         member.heartbeat = 0;
         member.successor_seen_at = None;
         member.leads &= member.term >= newest;
+        member.paused_below = 0;
         if lost_data && !member.leads {
             member.log.clear();
             member.applied = 0;
@@ -356,6 +376,7 @@
             let source = (0..self.members.len())
                 .filter(|other| *other != index && self.members[*other].alive)
                 .filter(|other| self.members[*other].leads && reaches(*other, index))
+                .filter(|_| self.members[index].paused_below == 0)
                 .max_by_key(|other| self.members[*other].term);
             if let Some(source) = source {
                 let (term, log) = {
@@ -394,6 +415,7 @@
         role: role_of(member),
         term: Term(member.term),
         position: member.received(),
+        paused_below: Term(member.paused_below),
     }
 }
 
--- a/crates/coordination/tests/managed_model/world.rs
+++ b/crates/coordination/tests/managed_model/world.rs
@@ -32,6 +32,8 @@
 /// Time after which a promotion order that a cut link delays is lost, because its
 /// sender resets the connection.
 const ORDER_RESET: Duration = Duration::from_millis(800);
+/// Longest time from the sending of an order to its effect.
+const ORDER_EFFECT: Duration = Duration::from_millis(2_300);
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -84,6 +86,17 @@
     index: usize,
 }
 
+/// The answer to a write that waits until enough replicas have received the commit.
+#[derive(Clone, Debug)]
+struct AwaitedCommit {
+    host: usize,
+    member: usize,
+    started_ms: u64,
+    call: u64,
+    write: u64,
+    answer: Answer,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WriteRecord {
     committed: Option<Commit>,
@@ -125,6 +138,7 @@
     trace: bool,
     decision: Decision,
     scenario: Scenario,
+    seed: u64,
     base: Instant,
     now: Instant,
     events: BTreeMap<(Instant, u64), Event>,
@@ -139,6 +153,13 @@
     writes: Vec<WriteRecord>,
     /// Acknowledged writes and the instants of their acknowledgements.
     acknowledged: Vec<(u64, Instant)>,
+    /// Number of replicas that have to receive a commit before it is acknowledged.
+    sync_replicas: usize,
+    awaited_commits: Vec<AwaitedCommit>,
+    /// Whether a member has lost its data.
+    has_lost_data: bool,
+    /// When a promotion order for a member was last sent.
+    order_sent: HashMap<usize, Instant>,
     reads: Vec<ReadRecord>,
     delivered_reads: Vec<u64>,
     /// Lease holder and fencing token of each promotion order, in order of arrival.
@@ -156,6 +177,7 @@
             trace,
             decision,
             scenario,
+            seed,
             base,
             now: base,
             events: BTreeMap::new(),
@@ -169,6 +191,10 @@
             faults_end: base + FAULTS_FROM,
             writes: Vec::new(),
             acknowledged: Vec::new(),
+            sync_replicas: usize::from(scenario == Scenario::Synchronous),
+            awaited_commits: Vec::new(),
+            has_lost_data: false,
+            order_sent: HashMap::new(),
             reads: Vec::new(),
             delivered_reads: Vec::new(),
             orders: Vec::new(),
@@ -213,7 +239,7 @@
     pub fn run(&mut self) -> Option<Violation> {
         let end = self.base
             + match self.scenario {
-                Scenario::Durable => RUN_FOR,
+                Scenario::Durable | Scenario::Synchronous => RUN_FOR,
                 Scenario::Returning => RUN_WITH_RETURNS_FOR,
             };
         while let Some(((instant, _), event)) = self.events.pop_first() {
@@ -293,18 +319,41 @@
             Event::End(effect) => {
                 self.effects.remove(&effect);
             }
-            Event::Restart { member, lost_data } => self.platform.restart(member, lost_data),
-            Event::StartHost(host) => {
-                self.incarnations[host] += 1;
-                let mut entry_host = EntryHost::new(host, self.incarnations[host], self.decision);
-                let mut out = Outbox::default();
-                entry_host.start(self.now, &mut out);
-                self.hosts[host] = Some(entry_host);
-                self.process_outbox(host, out);
-            }
+            Event::Restart { member, lost_data } => self.restart_member(member, lost_data),
+            Event::StartHost(host) => self.start_host(host),
         }
     }
 
+    /// Restarts a member. Where commits wait for one replica, at most one member of a run
+    /// loses its data, and a member registers when it starts.
+    fn restart_member(&mut self, member: usize, lost_data: bool) {
+        let is_ordered = self.is_ordered(member);
+        let is_kept = self.hosts_may_restart() || self.has_lost_data;
+        let is_kept = self.sync_replicas > 0 && is_kept || is_ordered || self.has_last_copy(member);
+        let loses_data = lost_data && !is_kept;
+        self.has_lost_data |= loses_data;
+        self.platform.restart(member, loses_data);
+        let cut = self.is_cut(Endpoint::Member(member), Endpoint::Store);
+        let store_down = self.has_effect(|effect| effect.store_down);
+        if self.sync_replicas > 0 && !cut && !store_down {
+            self.platform.record_heartbeat(member, self.now);
+        }
+    }
+
+    fn start_host(&mut self, host: usize) {
+        self.incarnations[host] += 1;
+        let mut entry_host = EntryHost::new(
+            host,
+            self.incarnations[host],
+            self.decision,
+            self.sync_replicas as u32,
+        );
+        let mut out = Outbox::default();
+        entry_host.start(self.now, &mut out);
+        self.hosts[host] = Some(entry_host);
+        self.process_outbox(host, out);
+    }
+
     /// Runs `action` on a host. If the host is frozen, `event` is postponed until it
     /// no longer is.
     fn with_host(
@@ -337,6 +386,9 @@
             );
         }
         for (to, call, request) in out.calls {
+            if let Request::Promote { member, .. } = request {
+                self.order_sent.insert(member, self.now);
+            }
             let delay = self.millis(1, 12);
             let sent_at = self.now;
             self.after(
@@ -423,7 +475,10 @@
                 let started_ms = known.started_ms;
                 let work = match request {
                     MemberRequest::Write { .. } | MemberRequest::Read { .. } => self.millis(2, 60),
-                    MemberRequest::Status | MemberRequest::StepDown { .. } => self.millis(0, 5),
+                    MemberRequest::Status
+                    | MemberRequest::StepDown { .. }
+                    | MemberRequest::Pause { .. }
+                    | MemberRequest::Resume => self.millis(0, 5),
                 };
                 self.after(
                     work,
@@ -539,6 +594,10 @@
         if let MemberRequest::Read { read, .. } = request {
             self.reads[read as usize].missing = self.missing(read, member);
         }
+        let is_busy = self.has_effect(|effect| effect.busy == Some(member));
+        if is_busy && matches!(request, MemberRequest::Status) {
+            return self.reply(host, Endpoint::Member(member), call, Answer::Busy);
+        }
         let answer = self.platform.run(member, request);
         if let (MemberRequest::Write { write }, Answer::Done { position }) = (request, &answer) {
             let record = &mut self.writes[write as usize];
@@ -547,10 +606,71 @@
                 term: position.term.0,
                 index: position.offset as usize - 1,
             });
+            if self.sync_replicas > 0 {
+                return self.awaited_commits.push(AwaitedCommit {
+                    host,
+                    member,
+                    started_ms,
+                    call,
+                    write,
+                    answer,
+                });
+            }
         }
         self.reply(host, Endpoint::Member(member), call, answer);
     }
 
+    /// Answers the writes that enough replicas have received. A member that ended answers
+    /// nothing any more.
+    fn answer_commits(&mut self) {
+        let members = &self.platform.members;
+        let mut awaited = std::mem::take(&mut self.awaited_commits);
+        awaited.retain(|one| {
+            let member = &members[one.member];
+            member.alive && member.started_ms == one.started_ms
+        });
+        let is_received = |one: &AwaitedCommit| {
+            let replicas = (0..MEMBERS).filter(|other| *other != one.member);
+            let holders = replicas.filter(|other| self.has_received(*other, one.write));
+            holders.count() >= self.sync_replicas
+        };
+        let (received, awaited): (Vec<_>, Vec<_>) = awaited.into_iter().partition(is_received);
+        self.awaited_commits = awaited;
+        for one in received {
+            self.reply(one.host, Endpoint::Member(one.member), one.call, one.answer);
+        }
+    }
+
+    /// Returns whether hosts restart in this run. A host that has just started does not know
+    /// which copies of the log were lost before, so that such runs lose none.
+    fn hosts_may_restart(&self) -> bool {
+        self.sync_replicas == 0 || self.seed.is_multiple_of(2)
+    }
+
+    /// Returns whether the promotion of a member may be on its way, which the member could
+    /// not refuse after it lost its data.
+    fn is_ordered(&self, member: usize) -> bool {
+        let sent = self.order_sent.get(&member);
+        self.sync_replicas > 0 && sent.is_some_and(|at| self.now < *at + ORDER_EFFECT)
+    }
+
+    /// Returns whether a member alone has an acknowledged commit that a replica had to
+    /// receive. Such a commit may not be lost by one fault of the member.
+    fn has_last_copy(&self, member: usize) -> bool {
+        let others = || (0..MEMBERS).filter(|other| *other != member);
+        let mut acknowledged = self.acknowledged.iter();
+        self.sync_replicas > 0
+            && acknowledged
+                .any(|(write, _)| !others().any(|other| self.has_received(other, *write)))
+    }
+
+    fn has_received(&self, member: usize, write: u64) -> bool {
+        let commit = self.writes[write as usize].committed;
+        let log = &self.platform.members[member].log;
+        let entry = commit.and_then(|commit| log.get(commit.index));
+        entry.is_some_and(|entry| entry.write == write)
+    }
+
     /// Returns the acknowledged commits that a read must see and the member does not
     /// hold.
     fn missing(&self, read: u64, member: usize) -> Vec<u64> {
@@ -594,6 +714,20 @@
                 self.writes[write].rolled_back = true;
             }
         }
+        if self.sync_replicas > 0 {
+            let writes = &self.writes;
+            let mut acknowledged = self.acknowledged.iter();
+            let lost = acknowledged.find(|(write, _)| writes[*write as usize].rolled_back);
+            if let Some((write, at)) = lost {
+                let at = *at - self.base;
+                let text = format!(
+                    "write {write} was acknowledged at {at:?}, and member {member} was \
+                     promoted without it at {:?}",
+                    self.now - self.base
+                );
+                self.report_violation(ViolationKind::LostCommit, text);
+            }
+        }
     }
 
     fn replicate(&mut self) {
@@ -601,6 +735,7 @@
             .flat_map(|left| (0..MEMBERS).map(move |right| (left, right)))
             .filter(|(left, right)| self.is_cut(Endpoint::Member(*left), Endpoint::Member(*right)))
             .collect();
+        let deaf: Vec<usize> = self.effects.values().filter_map(|one| one.deaf).collect();
         let chance = if self.has_effect(|effect| effect.lag) {
             0.01
         } else {
@@ -612,9 +747,10 @@
         let random = &mut self.random;
         self.platform.replicate(
             self.now,
-            |from, to| !cuts.contains(&(from, to)),
+            |from, to| !cuts.contains(&(from, to)) && !deaf.contains(&to),
             || random.random_range(0.0..1.0),
         );
+        self.answer_commits();
         self.after(REPLICATION_TICK, Event::Replicate);
     }
 
@@ -691,6 +827,10 @@
     fn acknowledge(&mut self, write: u64) {
         self.figures.acknowledged += 1;
         self.acknowledged.push((write, self.now));
+        if self.sync_replicas > 0 && self.writes[write as usize].rolled_back {
+            let text = format!("write {write} was acknowledged after a promotion without it");
+            self.report_violation(ViolationKind::LostCommit, text);
+        }
         let record = &self.writes[write as usize];
         let host = record.session.0;
         if self.now >= self.faults_end {
@@ -797,6 +937,21 @@
             FaultKind::StoreSlow => effect.store_slow = true,
             FaultKind::OrdersLost => effect.orders_lost = true,
             FaultKind::Lag => effect.lag = true,
+            FaultKind::Deaf(member) => effect.deaf = Some(member),
+            FaultKind::Busy(member) => effect.busy = Some(member),
+            FaultKind::DeafAndCrash(member) => {
+                effect.deaf = Some(member);
+                let delay = self.millis(200, 2_000);
+                self.after(delay, Event::Begin(FaultKind::CrashPrimary));
+            }
+            FaultKind::DeafAndLost(member) => {
+                effect.deaf = Some(member);
+                let other = (member + self.random.random_range(1..MEMBERS)) % MEMBERS;
+                let delay = self.millis(200, 1_000);
+                self.after(delay, Event::Begin(FaultKind::EmptyReplicaRestart(other)));
+                let delay = delay + self.millis(0, 6_000);
+                self.after(delay, Event::Begin(FaultKind::CrashPrimary));
+            }
             FaultKind::StoreReturns => {
                 effect.store_down = true;
                 let lost = self.millis(500, 9_000);
@@ -859,6 +1014,12 @@
     /// Stops or freezes the hosts or members that a fault concerns.
     fn stop_processes(&mut self, kind: FaultKind, length: Duration) {
         match kind {
+            FaultKind::KillHost(host) if !self.hosts_may_restart() => self.freeze(host, length),
+            FaultKind::KillHolder if !self.hosts_may_restart() => {
+                let host = self.holder();
+                self.freeze(host, length);
+            }
+            FaultKind::KillAllHosts if !self.hosts_may_restart() => {}
             FaultKind::KillHost(host) => self.kill_host(host, length),
             FaultKind::KillHolder => {
                 let host = self.holder();
@@ -877,8 +1038,11 @@
             FaultKind::CrashPrimary => self.crash(self.primary(), length, false),
             FaultKind::CrashMember(member) => self.crash(member, length, false),
             FaultKind::EmptyReplicaRestart(member) => self.crash(member, length, true),
-            FaultKind::DrainPrimary => {
-                let member = self.primary();
+            FaultKind::DrainPrimary | FaultKind::DrainMember(_) => {
+                let member = match kind {
+                    FaultKind::DrainMember(member) => member,
+                    _ => self.primary(),
+                };
                 self.platform.members[member].draining = true;
                 self.faults_end += Duration::from_secs(1);
                 let restart = Event::Restart {
--- a/crates/coordination/tests/managed_steps.rs
+++ b/crates/coordination/tests/managed_steps.rs
@@ -8,13 +8,14 @@
 
 use coordination::managed::change::{CandidateStatus, ChangeReason};
 use coordination::managed::change_steps::{
-    ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome,
+    ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StatusQuestion, StepOutcome,
 };
 use coordination::managed::group::ManagedGroup;
 use coordination::managed::primary_view::ASSURANCE_DURATION;
 use coordination::managed::promotion_lease::{LeaseReading, PromotionLease};
 use googletest::prelude::*;
 use managed_support::{group_of_three, marker, ms};
+use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
 use state::member::MemberRole;
 
@@ -99,6 +100,21 @@
         }
     }
 
+    /// Returns the step that asks all members but the primary for their status.
+    fn ask_replicas(&self, question: StatusQuestion) -> ChangeStep {
+        let replicas = ["b", "c"].map(|id| self.group.find(id).expect("a listed member"));
+        ChangeStep::PollMembers {
+            members: replicas.to_vec(),
+            question,
+        }
+    }
+
+    /// The former primary has stepped down, with a log of `offset` commits.
+    fn stepped_down(&self, offset: u64) -> StepOutcome {
+        let status = self.candidate("a", MemberRole::Replica, 1, offset);
+        StepOutcome::SteppedDown(Some(status))
+    }
+
     fn replicas(&self) -> StepOutcome {
         StepOutcome::Polled(vec![
             self.candidate("b", MemberRole::Replica, 1, 40),
@@ -113,6 +129,13 @@
     }
 }
 
+fn ask(member: MemberKey) -> ChangeStep {
+    ChangeStep::AskStatus {
+        member,
+        question: StatusQuestion::Status,
+    }
+}
+
 /// Milliseconds from the start of a test to the acknowledgement of its
 /// announcement: 20 ms.
 const ANNOUNCED: u64 = 20;
@@ -120,6 +143,7 @@
 #[gtest]
 fn without_a_step_down_the_promotion_waits_for_all_assurances() {
     let mut driver = StepDriver::new(ChangeReason::Unreachable);
+    let asked = driver.ask_replicas(StatusQuestion::Status);
     let former = driver.group.find("a").unwrap();
     let successor = driver.group.find("c").unwrap();
     let assurance = ASSURANCE_DURATION.as_millis() as u64;
@@ -130,12 +154,7 @@
             term: Term(2)
         })
     );
-    expect_that!(
-        driver.next(StepOutcome::SteppedDown(None), 520),
-        eq(&ChangeStep::PollMembers {
-            former: Some(former)
-        })
-    );
+    expect_that!(driver.next(StepOutcome::SteppedDown(None), 520), eq(&asked));
     let replicas = driver.replicas();
     let ChangeStep::Wait { until } = driver.next(replicas, 525) else {
         panic!("the procedure waits for the assurances to end");
@@ -155,7 +174,7 @@
             StepOutcome::Ordered(OrderOutcome::Accepted),
             assurance + 160
         ),
-        eq(&ChangeStep::AskStatus { member: successor })
+        eq(&ask(successor))
     );
     let leads = StepOutcome::Status(Some((MemberRole::Primary, Term(2))));
     expect_that!(
@@ -187,6 +206,7 @@
 #[gtest]
 fn after_a_step_down_the_promotion_does_not_wait_for_assurances() {
     let mut driver = StepDriver::new(ChangeReason::Draining);
+    let asked = driver.ask_replicas(StatusQuestion::Status);
     let former = driver.group.find("a").unwrap();
     let successor = driver.group.find("c").unwrap();
     let notice = driver.announce();
@@ -198,25 +218,15 @@
             term: Term(2)
         })
     );
-    let end = LogPosition::new(1, 42);
-    expect_that!(
-        driver.next(StepOutcome::SteppedDown(Some(end)), 430),
-        eq(&ChangeStep::PollMembers {
-            former: Some(former)
-        })
-    );
+    let stepped_down = driver.stepped_down(42);
+    expect_that!(driver.next(stepped_down, 430), eq(&asked));
     // The replicas have not received the last commits yet.
     let behind = driver.replicas();
     expect_that!(
         driver.next(behind, 435),
         matches_pattern!(ChangeStep::Wait { .. })
     );
-    expect_that!(
-        driver.next(StepOutcome::Waited, 485),
-        eq(&ChangeStep::PollMembers {
-            former: Some(former)
-        })
-    );
+    expect_that!(driver.next(StepOutcome::Waited, 485), eq(&asked));
     let complete = StepOutcome::Polled(vec![driver.candidate("c", MemberRole::Replica, 1, 42)]);
     expect_that!(
         driver.next_confirmed(complete, 490),
@@ -232,8 +242,8 @@
     let mut driver = StepDriver::new(ChangeReason::Draining);
     driver.announce();
     driver.next(StepOutcome::Waited, 420);
-    let end = LogPosition::new(1, 99);
-    driver.next(StepOutcome::SteppedDown(Some(end)), 430);
+    let stepped_down = driver.stepped_down(99);
+    driver.next(stepped_down, 430);
     let behind = driver.replicas();
     expect_that!(
         driver.next_confirmed(behind, 940),
@@ -259,7 +269,8 @@
 fn an_unanswered_order_is_sent_again_while_the_lease_lasts() {
     let mut driver = StepDriver::new(ChangeReason::Unreachable);
     driver.announce();
-    driver.next(StepOutcome::SteppedDown(Some(LogPosition::new(1, 1))), 30);
+    let stepped_down = driver.stepped_down(1);
+    driver.next(stepped_down, 30);
     let replicas = driver.replicas();
     let order = driver.next_confirmed(replicas, 40);
     expect_that!(order, matches_pattern!(ChangeStep::Promote { .. }));
@@ -328,7 +339,8 @@
             name: "the platform rejects the member",
             scenario: |driver| {
                 driver.announce();
-                driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+                let stepped_down = driver.stepped_down(0);
+                driver.next(stepped_down, 30);
                 let replicas = driver.replicas();
                 driver.next_confirmed(replicas, 40);
                 driver.next(StepOutcome::Ordered(OrderOutcome::Rejected), 50)
@@ -339,7 +351,8 @@
             name: "the member does not lead in time",
             scenario: |driver| {
                 driver.announce();
-                driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+                let stepped_down = driver.stepped_down(0);
+                driver.next(stepped_down, 30);
                 let replicas = driver.replicas();
                 driver.next_confirmed(replicas, 40);
                 driver.next(StepOutcome::Ordered(OrderOutcome::Accepted), 50);
@@ -373,7 +386,8 @@
 fn no_promotion_is_ordered_after_the_end_of_the_lease() {
     let mut driver = StepDriver::new(ChangeReason::Unreachable);
     driver.announce();
-    driver.next(StepOutcome::SteppedDown(Some(LogPosition::START)), 30);
+    let stepped_down = driver.stepped_down(0);
+    driver.next(stepped_down, 30);
     let replicas = driver.replicas();
     expect_that!(
         driver.next(replicas, 9_000),
--- a/crates/coordination/tests/support/managed.rs
+++ b/crates/coordination/tests/support/managed.rs
@@ -82,6 +82,7 @@
 /// `dc-2` and `dc-3`. All are listed, and the row was read at `now`.
 pub fn group_of_three(now: Instant) -> ManagedGroup {
     let mut group = ManagedGroup::default();
+    group.set_sync_replicas(0);
     let list = [
         server("a", "dc-1"),
         server("b", "dc-2"),
--- a/crates/protocol/src/statement.rs
+++ b/crates/protocol/src/statement.rs
@@ -164,6 +164,14 @@
     Reset,
     /// Requests the member's status.
     Status,
+    /// Makes a replica receive nothing from primaries of lower terms, until it resumes or
+    /// restarts or a member is promoted.
+    Pause {
+        /// Term above the newest one that the replica knows.
+        term: Term,
+    },
+    /// Lets a paused replica receive again.
+    Resume,
     /// Makes the member a replica if it is the primary of a lower term.
     StepDown {
         /// Term of the new primary.
@@ -282,4 +290,14 @@
     pub term: Term,
     /// End of the log that the member received.
     pub received: LogPosition,
+    /// Term below which the member receives nothing from primaries; 0 if it is not paused.
+    pub paused_below: Term,
+}
+
+impl MemberStatus {
+    /// Returns the newest term that the member shows: one that it knows, or one that another
+    /// member is about to lead.
+    pub fn newest_term(&self) -> Term {
+        self.term.max(self.paused_below)
+    }
 }
--- a/crates/standin/src/managed.rs
+++ b/crates/standin/src/managed.rs
@@ -269,6 +269,23 @@
         state.group.replicate();
     }
 
+    /// Lets a member receive nothing, or catch up.
+    pub fn deafen(&self, index: usize, deaf: bool) {
+        let mut state = self.lock();
+        state.group.members[index].deaf = deaf;
+        state.group.replicate();
+    }
+
+    /// Makes a member refuse status questions because all its slots are in use.
+    pub fn set_busy(&self, index: usize, busy: bool) {
+        self.lock().group.members[index].busy = busy;
+    }
+
+    /// Makes a member answer questions of hosts about itself only after `delay`.
+    pub fn delay_questions(&self, index: usize, delay: Duration) {
+        self.lock().group.members[index].question_delay = delay;
+    }
+
     /// Kills a member: closes its connections, resets new ones and removes its
     /// entry from the server list.
     pub fn kill(&mut self, index: usize) {
--- a/crates/standin/src/managed/member.rs
+++ b/crates/standin/src/managed/member.rs
@@ -1,6 +1,6 @@
 //! Members of a group that speak the line protocol.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -50,6 +50,8 @@
     pub reused_names: Vec<String>,
     /// The rows of the callers' statements that succeeded, by id and in order.
     pub rows: Vec<(String, String)>,
+    /// The session values with which the callers' statements ran, by id and in order.
+    pub values: Vec<(String, BTreeMap<String, String>)>,
 }
 
 /// A caller's statement as a member executed it.
@@ -126,6 +128,15 @@
     most_prepared: usize,
     reused_names: Vec<String>,
     rows: Vec<(String, String)>,
+    values: Vec<(String, BTreeMap<String, String>)>,
+    /// Whether the member receives nothing.
+    pub(super) deaf: bool,
+    /// Whether all slots are in use, so that status questions are refused.
+    pub(super) busy: bool,
+    /// Time that the member takes to answer a question of a host about itself.
+    pub(super) question_delay: Duration,
+    /// Term below which the member receives nothing; 0 if it is not paused.
+    paused_below: u64,
 }
 
 impl MemberState {
@@ -148,6 +159,11 @@
             most_prepared: 0,
             reused_names: Vec::new(),
             rows: Vec::new(),
+            values: Vec::new(),
+            deaf: false,
+            busy: false,
+            question_delay: Duration::ZERO,
+            paused_below: 0,
         }
     }
 
@@ -181,6 +197,7 @@
             most_prepared: self.most_prepared,
             reused_names: self.reused_names.clone(),
             rows: self.rows.clone(),
+            values: self.values.clone(),
         }
     }
 
@@ -199,6 +216,17 @@
         }
     }
 
+    /// Carries out a request that concerns the member itself, and returns its status.
+    fn control(&mut self, word: &str, term: u64) -> String {
+        match word {
+            "STEPDOWN" if self.term < term => self.is_primary = false,
+            "PAUSE" if !self.is_primary && self.term < term => self.paused_below = term,
+            "RESUME" => self.paused_below = 0,
+            _ => {}
+        }
+        status_row(self)
+    }
+
     fn position(&self) -> String {
         match self.log.last() {
             Some(entry) => format!("{}.{}", entry.term, self.log.len()),
@@ -256,7 +284,8 @@
         }
         let (log, term) = (source.log.clone(), source.term);
         for (index, member) in self.members.iter_mut().enumerate() {
-            if index != self.primary && member.alive && !member.is_primary {
+            let receives = !member.deaf && member.paused_below == 0;
+            if index != self.primary && member.alive && !member.is_primary && receives {
                 member.log.clone_from(&log);
                 member.term = term;
             }
@@ -308,6 +337,9 @@
         self.members[index].is_primary = true;
         self.members[index].term = term;
         self.primary = index;
+        for member in &mut self.members {
+            member.paused_below = 0;
+        }
         self.replicate();
     }
 
@@ -318,6 +350,7 @@
         member.alive = true;
         member.draining = false;
         member.starts += 1;
+        member.paused_below = 0;
         member.is_primary &= index == self.primary;
     }
 
@@ -350,7 +383,7 @@
     /// The last statement of each name that the connection ever prepared.
     named: HashMap<String, StatementShape>,
     /// Session variables. `READ @name` returns the value of one.
-    values: HashMap<String, String>,
+    values: BTreeMap<String, String>,
 }
 
 /// The statement that a prepared name stands for.
@@ -421,6 +454,11 @@
             }
             _ => return Ok(()),
         };
+        let question_delay = lock(&state).group.members[index].question_delay;
+        let is_question = id == Some(OWN_ID) && text.is_some_and(is_about_member);
+        if is_question && !question_delay.is_zero() {
+            sleep(question_delay).await;
+        }
         let is_write = text.is_some_and(|text| text.contains("WRITE"));
         let delay = lock(&state).group.write_delay;
         if is_write && !delay.is_zero() {
@@ -442,6 +480,11 @@
     Ok(())
 }
 
+fn is_about_member(text: &str) -> bool {
+    let words = ["STATUS", "STEPDOWN", "PAUSE", "RESUME"];
+    words.iter().any(|word| text.starts_with(word))
+}
+
 /// Sends an answer again after `delay`.
 async fn repeat_answer(output: Arc<AsyncMutex<OwnedWriteHalf>>, answer: String, delay: Duration) {
     sleep(delay).await;
@@ -495,11 +538,16 @@
         let data = words.next().unwrap_or("").to_owned();
         let is_primary = group.members[index].is_primary;
         group.members[index].record_statement(id, shape, &resolved);
+        if id != OWN_ID {
+            let values = (id.to_owned(), self.values.clone());
+            group.members[index].values.push(values);
+        }
         match word {
+            "STATUS" if group.members[index].busy => return Err("BUSY"),
             "STATUS" => return Ok(status_row(&group.members[index])),
-            "STEPDOWN" => {
-                group.members[index].is_primary = false;
-                return Ok(status_row(&group.members[index]));
+            "STEPDOWN" | "PAUSE" | "RESUME" => {
+                let term = item.parse().unwrap_or(0);
+                return Ok(group.members[index].control(word, term));
             }
             "BEGIN" if item != "READ" && !is_primary => return Err("READONLY"),
             "BEGIN" => self.transaction = Some(Vec::new()),
@@ -592,5 +640,6 @@
         "replica"
     };
     let position = member.position();
-    format!("ROW {role} {} {position} 0 0 0 1\r\n", member.term)
+    let held = member.paused_below;
+    format!("ROW {role} {} {position} {held} 0 0 1\r\n", member.term)
 }
--- a/crates/transport/src/managed/answer_record.rs
+++ b/crates/transport/src/managed/answer_record.rs
@@ -110,7 +110,10 @@
             | MemberStatement::Prepare { .. }
             | MemberStatement::Deallocate { .. }
             | MemberStatement::Reset => AwaitedAnswer::Own { state: None },
-            MemberStatement::Status | MemberStatement::StepDown { .. } => AwaitedAnswer::Status,
+            MemberStatement::Status
+            | MemberStatement::Pause { .. }
+            | MemberStatement::Resume
+            | MemberStatement::StepDown { .. } => AwaitedAnswer::Status,
         }
     }
 
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -7,26 +7,27 @@
 
 use coordination::managed::change::{CandidateStatus, ChangeReason};
 use coordination::managed::change_steps::{
-    ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StepOutcome,
+    ChangeFailure, ChangeProcedure, ChangeStep, OrderOutcome, StatusQuestion, StepOutcome,
 };
 use coordination::managed::era::EraMarker;
 use coordination::managed::primary_view::{GroupRow, RowReading};
 use coordination::managed::promotion_lease::{LeaseReading, PromotionLease};
 use futures::future::join_all;
+use protocol::statement::MemberStatus;
 use state::clock::MonotonicClock;
 use state::keys::MemberKey;
-use state::log::{LogPosition, Term};
-use state::member::MemberRole;
+use state::log::Term;
 use tokio::time::sleep;
 
 use super::codec::StatementCodec;
 use super::context::HostContext;
-use super::group_runtime::GroupRuntime;
+use super::group_runtime::{AskError, GroupRuntime};
 use super::host_platform::{
     ControlTable, HostPlatform, PromotionAnswer, PromotionOrder, ServiceError, StoreRevision,
 };
 use super::store_follower::{
-    apply_group_rows, encode_row, group_key, mark_era, write_group_row, write_in_era,
+    apply_group_rows, apply_server_list, encode_row, group_key, mark_era, write_group_row,
+    write_in_era,
 };
 use crate::services::WriteAnswer;
 
@@ -34,6 +35,8 @@
 const LEASE_KEY: &str = "duty";
 /// Time in which a member has to answer a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a member whose answer decides whether acknowledged commits are kept.
+const REPLICA_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Refusals of a row's write in a row from which on operators should look at it.
 const REFUSALS_TO_WARN: i64 = 4;
 /// Pause after a failed change, before the next attempt may start.
@@ -138,22 +141,22 @@
         let mut poll_log = PollLog::default();
         loop {
             let now = self.context.clock.now();
-            outcome = match group.with(|group| procedure.next(group, outcome, now)) {
-                ChangeStep::ReadLease => match self.read_lease().await {
-                    Ok(reading) => {
+            let sync_replicas = self.sync_replicas(group);
+            let step = group.with(|group| {
+                if let Some(count) = sync_replicas {
+                    group.set_sync_replicas(count);
+                }
+                procedure.next(group, outcome, now)
+            });
+            outcome = match step {
+                ChangeStep::ReadLease => {
+                    let is_confirming = procedure.is_confirming();
+                    let reading = self.read_lease_or_wait(group, is_confirming).await?;
+                    if let Some(reading) = &reading {
                         marker.get_or_insert(reading.marker);
-                        StepOutcome::Lease(reading)
                     }
-                    Err(error) if procedure.is_confirming() => {
-                        let error = error.to_string();
-                        log::warn!(
-                            group = group.name.as_str(), error = error.as_str();
-                            "promotion waits for the store"
-                        );
-                        StepOutcome::LeaseUnknown
-                    }
-                    Err(error) => return Err(error),
-                },
+                    reading.map_or(StepOutcome::LeaseUnknown, StepOutcome::Lease)
+                }
                 ChangeStep::WriteLease {
                     row,
                     expected_revision,
@@ -165,13 +168,7 @@
                     row,
                     expected_revision,
                 } => {
-                    if let Some(change) = &row.change {
-                        log::info!(
-                            group = group.name.as_str(), member = row.primary.as_str(),
-                            reason = reason.name(), fencing_token = change.fencing_token;
-                            "change of primary begins"
-                        );
-                    }
+                    log_announcement(group, &row, reason);
                     let marker = marker.ok_or(ChangeError::Failed(ChangeFailure::EraEnded))?;
                     self.write_group_row(group, &row, expected_revision, &marker)
                         .await?
@@ -179,15 +176,20 @@
                 ChangeStep::StepDown { member, term } => {
                     StepOutcome::SteppedDown(step_down(group, member, term).await)
                 }
-                ChangeStep::PollMembers { former } => {
-                    StepOutcome::Polled(poll_members(group, former, &mut poll_log).await)
+                ChangeStep::PollMembers { members, question } => {
+                    let replies = poll_members(group, &members, question, &mut poll_log).await;
+                    StepOutcome::Polled(replies)
                 }
+                ChangeStep::ResumeMembers { members } => StepOutcome::Resumed {
+                    silent: resume_members(group, members).await,
+                },
+                ChangeStep::ReadMembers => self.read_members(group).await,
                 ChangeStep::Promote {
                     member,
                     fencing_token,
                 } => StepOutcome::Ordered(self.promote(group, member, fencing_token).await),
-                ChangeStep::AskStatus { member } => {
-                    let status = group.ask_status(member, REQUEST_TIMEOUT).await;
+                ChangeStep::AskStatus { member, question } => {
+                    let status = ask_candidate(group, member, question).await;
                     StepOutcome::Status(status.ok().map(|status| (status.role, status.term)))
                 }
                 ChangeStep::Wait { until } => {
@@ -200,6 +202,35 @@
         }
     }
 
+    /// Returns how many replicas hold a commit before it is acknowledged, according to the
+    /// plan in force; `None` if that does not name the group.
+    fn sync_replicas(&self, group: &GroupRuntime<K, C>) -> Option<u32> {
+        let plan = self.context.plan()?;
+        let settings = plan.groups.get(&group.name)?;
+        Some(settings.sync_replicas)
+    }
+
+    /// Reads the lease row. While the era is confirmed before an order, a store that does
+    /// not answer is waited for, and `None` is returned.
+    async fn read_lease_or_wait(
+        &self,
+        group: &GroupRuntime<K, C>,
+        is_confirming: bool,
+    ) -> Result<Option<LeaseReading>> {
+        match self.read_lease().await {
+            Ok(reading) => Ok(Some(reading)),
+            Err(error) if is_confirming => {
+                let error = error.to_string();
+                log::warn!(
+                    group = group.name.as_str(), error = error.as_str();
+                    "promotion waits for the store"
+                );
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
+    }
+
     async fn read_lease(&self) -> Result<LeaseReading> {
         let asked_at = self.context.clock.now();
         let reading = self.platform.read_table(ControlTable::Groups).await?;
@@ -219,6 +250,26 @@
         })
     }
 
+    async fn read_members(&self, group: &GroupRuntime<K, C>) -> StepOutcome {
+        self.context.metrics.count_store_call("servers");
+        match self.platform.list_servers().await {
+            Ok(reading) if self.context.admit_era(StoreRevision::new(reading.era, 0)) => {
+                apply_server_list(&self.context, &reading);
+                StepOutcome::MembersRead
+            }
+            Ok(_) => StepOutcome::MembersUnknown,
+            Err(error) => {
+                self.context.metrics.count_store_failure("servers");
+                let error = error.to_string();
+                log::warn!(
+                    group = group.name.as_str(), error = error.as_str();
+                    "promotion waits for the server list"
+                );
+                StepOutcome::MembersUnknown
+            }
+        }
+    }
+
     async fn write_lease(
         &self,
         row: &PromotionLease,
@@ -319,38 +370,110 @@
     }
 }
 
-/// Makes a member step down. Returns the end of the log that the member has
-/// received if the member confirms that it is a replica.
+/// Logs the begin of a change of primary if `row` announces one.
+fn log_announcement<K: StatementCodec, C: MonotonicClock>(
+    group: &GroupRuntime<K, C>,
+    row: &GroupRow,
+    reason: ChangeReason,
+) {
+    if let Some(change) = &row.change {
+        log::info!(
+            group = group.name.as_str(), member = row.primary.as_str(),
+            reason = reason.name(), fencing_token = change.fencing_token;
+            "change of primary begins"
+        );
+    }
+}
+
+/// Makes a member step down. Returns its status after that.
 async fn step_down<K: StatementCodec, C: MonotonicClock>(
     group: &GroupRuntime<K, C>,
     member: MemberKey,
     term: Term,
-) -> Option<LogPosition> {
+) -> Option<CandidateStatus> {
     // `GroupRuntime::step_down` records and logs a failure.
     let status = group.step_down(member, term, REQUEST_TIMEOUT).await.ok()?;
-    (status.role == MemberRole::Replica).then_some(status.received)
+    log::info!(
+        group = group.name.as_str(), role = status.role.name(), term = status.term.0,
+        received = status.received.to_string().as_str();
+        "former primary answered"
+    );
+    Some(candidate_status(member, status))
+}
+
+/// Asks a member for its status.
+async fn ask_candidate<K: StatementCodec, C: MonotonicClock>(
+    group: &GroupRuntime<K, C>,
+    member: MemberKey,
+    question: StatusQuestion,
+) -> std::result::Result<MemberStatus, AskError> {
+    match question {
+        StatusQuestion::Status => group.ask_status(member, REQUEST_TIMEOUT).await,
+        StatusQuestion::StepDownBelow(term) => group.step_down(member, term, REPLICA_TIMEOUT).await,
+        StatusQuestion::PauseBelow(term) => {
+            match group.pause(member, term, REPLICA_TIMEOUT).await {
+                Err(AskError::Refused(refusal)) => {
+                    log::warn!(
+                        group = group.name.as_str(), reason = refusal.name();
+                        "replica does not pause"
+                    );
+                    group.step_down(member, term, REPLICA_TIMEOUT).await
+                }
+                answer => answer,
+            }
+        }
+    }
+}
+
+/// Asks members to receive again. Returns those that did not answer.
+async fn resume_members<K: StatementCodec, C: MonotonicClock>(
+    group: &GroupRuntime<K, C>,
+    members: Vec<MemberKey>,
+) -> Vec<MemberKey> {
+    let questions = members
+        .iter()
+        .map(|member| group.resume(*member, REQUEST_TIMEOUT));
+    let answers = join_all(questions).await;
+    let is_silent = |answer: &std::result::Result<_, AskError>| {
+        !matches!(answer, Ok(_) | Err(AskError::Refused(_)))
+    };
+    let answered = members.iter().zip(&answers);
+    answered
+        .filter(|(_, answer)| is_silent(answer))
+        .map(|(member, _)| *member)
+        .collect()
+}
+
+fn candidate_status(member: MemberKey, status: MemberStatus) -> CandidateStatus {
+    CandidateStatus {
+        member,
+        role: status.role,
+        term: status.term,
+        received: status.received,
+    }
 }
 
 /// The outcomes of one attempt's polls that were logged. A poll is repeated often, and
 /// only an outcome that the member has not had before is logged.
 type PollLog = HashSet<(MemberKey, &'static str)>;
 
-/// Asks every member except `former` for its status; returns the answers.
+/// Asks members for their status; returns the answers.
 async fn poll_members<K: StatementCodec, C: MonotonicClock>(
     group: &GroupRuntime<K, C>,
-    former: Option<MemberKey>,
+    members: &[MemberKey],
+    question: StatusQuestion,
     poll_log: &mut PollLog,
 ) -> Vec<CandidateStatus> {
     let members: Vec<(MemberKey, String)> = group.with(|group| {
-        let members = group.members.iter();
-        members
-            .filter(|(key, _)| Some(*key) != former)
-            .map(|(key, member)| (key, member.server.id.clone()))
-            .collect()
+        let known = members.iter().filter_map(|key| {
+            let member = group.members.get(*key)?;
+            Some((*key, member.server.id.clone()))
+        });
+        known.collect()
     });
     let questions = members
         .iter()
-        .map(|(key, _)| group.ask_status(*key, REQUEST_TIMEOUT));
+        .map(|(key, _)| ask_candidate(group, *key, question));
     let answers = join_all(questions).await;
     let mut replies = Vec::new();
     for ((key, id), answer) in members.iter().zip(answers) {
@@ -368,12 +491,7 @@
                 "member polled"
             );
         }
-        replies.extend(status.map(|status| CandidateStatus {
-            member: *key,
-            role: status.role,
-            term: status.term,
-            received: status.received,
-        }));
+        replies.extend(status.map(|status| candidate_status(*key, status)));
     }
     replies
 }
--- a/crates/transport/src/managed/group_runtime.rs
+++ b/crates/transport/src/managed/group_runtime.rs
@@ -469,6 +469,29 @@
         self.ask(key, &statement, repeated, max_wait).await
     }
 
+    /// Asks a replica to receive nothing from primaries below `term`.
+    pub(crate) async fn pause(
+        &self,
+        key: MemberKey,
+        term: Term,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        let statement = MemberStatement::Pause { term };
+        let repeated = RepeatedStatus::Nothing;
+        self.ask(key, &statement, repeated, max_wait).await
+    }
+
+    /// Asks a replica to receive again.
+    pub(crate) async fn resume(
+        &self,
+        key: MemberKey,
+        max_wait: Duration,
+    ) -> Result<MemberStatus, AskError> {
+        let repeated = RepeatedStatus::Nothing;
+        self.ask(key, &MemberStatement::Resume, repeated, max_wait)
+            .await
+    }
+
     async fn ask(
         &self,
         key: MemberKey,
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -55,6 +55,7 @@
             ask_round(&context, &group).await;
         }
         probe_primary(&context, &group, duty).await;
+        resume_replicas(&context, &group, duty).await;
         let reason = group.with(|group| reason_to_change(group, clock.now()));
         let may_run = |reason: &ChangeReason| {
             let may_restore = || group.with(|group| probe::may_restore(group, duty, clock.now()));
@@ -99,7 +100,11 @@
     let answers: Vec<Option<(MemberRole, Term)>> = join_all(questions)
         .await
         .into_iter()
-        .map(|answer| answer.ok().map(|status| (status.role, status.term)))
+        .map(|answer| {
+            answer
+                .ok()
+                .map(|status| (status.role, status.newest_term()))
+        })
         .collect();
     let replies: Vec<RoundReply<'_>> = others
         .iter()
@@ -115,6 +120,45 @@
     context.relay.offer_digests();
 }
 
+/// Lets replicas receive again that a change of primary paused which has ended.
+async fn resume_replicas<K: StatementCodec, C: MonotonicClock>(
+    context: &HostContext<K, C>,
+    group: &GroupRuntime<K, C>,
+    duty: ProbeDuty,
+) {
+    let now = context.clock.now();
+    let due = group.with(|group| {
+        let due = probe::replicas_to_resume(group, duty, now)?;
+        group.pauses_checked_at = Some(now);
+        Some(due)
+    });
+    let Some((replicas, term)) = due else {
+        return;
+    };
+    context
+        .metrics
+        .count_status_questions("pause", replicas.len());
+    // A request to step down below the primary's term changes no replica and takes no slot.
+    let questions = replicas
+        .iter()
+        .map(|key| group.step_down(*key, term, ROUND_TIMEOUT));
+    let answers = join_all(questions).await;
+    for (key, answer) in replicas.iter().zip(answers) {
+        // `step_down` records and logs a failure.
+        let Ok(status) = answer else {
+            continue;
+        };
+        if probe::is_pause_outdated(status.paused_below, term) {
+            let is_resumed = group.resume(*key, ROUND_TIMEOUT).await.is_ok();
+            log::warn!(
+                group = group.name.as_str(), paused_below = status.paused_below.0,
+                term = term.0, is_resumed;
+                "replica was paused without a change of primary"
+            );
+        }
+    }
+}
+
 /// Asks the primary for its status if recent traffic did not show its position,
 /// or if its last answer failed.
 async fn probe_primary<K: StatementCodec, C: MonotonicClock>(
