Run the commit of a transaction with the session's values

Cause: `OpenTransaction::commit` sends the COMMIT without the preparation that brings the connection's values up to date before each other statement. Answers 3 and 4 of one connection are the write and the commit, with none for a SET in between. On a relayed link the request carries the values of the last statement for the same reason.

The commit is prepared like a later statement, directly and over a holder. If that fails, no COMMIT was sent, and the caller gets a promise (2002).

--- a/crates/transport/src/managed/transaction.rs
+++ b/crates/transport/src/managed/transaction.rs
@@ -162,15 +162,7 @@
             return fail(ResultCode::TransactionLost, "the connection was lost");
         };
         let deadline = Instant::now() + self.route.statement_timeout;
-        let setup = ConnectionSetup {
-            values: session.values,
-            shape: body.shape(),
-            begin: None,
-            database: &self.route.database,
-            priority: self.route.priority,
-            // Statements of an open transaction do not queue.
-            target: None,
-        };
+        let setup = later_setup(&self.route, session, body);
         let _in_flight = MemberCount::enter(&self.group, *member, MemberCounter::InFlight);
         prepare(connection, &setup, deadline).await?;
         let answer = ask_while_busy(connection, id, body, deadline).await?;
@@ -193,10 +185,13 @@
             return self.run(context, session, id, access, body).await;
         };
         let deadline = Instant::now() + self.route.statement_timeout;
+        let body = StatementBody::Commit;
+        let setup = later_setup(&self.route, session, body);
         let _in_flight = MemberCount::enter(&self.group, member, MemberCounter::InFlight);
+        prepare(&mut connection, &setup, deadline).await?;
         loop {
             let sent_at = self.group.send_instant();
-            let asked = ask(&mut connection, id, StatementBody::Commit, deadline).await;
+            let asked = ask(&mut connection, id, body, deadline).await;
             let answer = asked.map_err(|error| {
                 self.group.record_failure(member, &error, sent_at);
                 if error.is_before_statement() {
@@ -210,7 +205,6 @@
                 Ok(_) => {
                     self.group.record_answer(member, &answer, sent_at.boot_time);
                     self.confirm(context, deadline).await?;
-                    let body = StatementBody::Commit;
                     log_placed(id, body, &self.group, member, &answer, 1);
                     return Ok(answer);
                 }
@@ -257,6 +251,23 @@
     }
 }
 
+/// Returns the set-up for a statement of an open transaction, whose connection has been
+/// prepared for an earlier one. Such statements do not queue.
+fn later_setup<'a>(
+    route: &'a AccessRoute,
+    session: &SessionView<'a>,
+    body: StatementBody<'a>,
+) -> ConnectionSetup<'a> {
+    ConnectionSetup {
+        values: session.values,
+        shape: body.shape(),
+        begin: None,
+        database: &route.database,
+        priority: route.priority,
+        target: None,
+    }
+}
+
 /// Brings the connection into the state that the session needs.
 async fn prepare<K: StatementCodec>(
     connection: &mut PooledConnection<MemberLink<K>>,
