--- a/crates/coordination/src/managed/change_steps.rs
+++ b/crates/coordination/src/managed/change_steps.rs
@@ -369,7 +369,10 @@
             (Phase::ReadingMembers, Outcome::MembersRead) => {
                 self.evaluate_holders(group, HolderCheck::Listed, now)
             }
-            (Phase::ReadingMembers, Outcome::MembersUnknown) => self.poll_again(now),
+            (Phase::ReadingMembers, Outcome::MembersUnknown) => match self.holds_lease(now) {
+                true => self.poll_again(now),
+                false => ChangeStep::Fail(ChangeFailure::LeaseEnded),
+            },
             (Phase::AwaitingFence(member) | Phase::AwaitingResend(member), Outcome::Waited) => {
                 self.confirm(member, now)
             }
--- a/crates/coordination/src/managed/commit_proof.rs
+++ b/crates/coordination/src/managed/commit_proof.rs
@@ -16,10 +16,10 @@
 //! received its whole log holds them, too, whatever the other members answer.
 //!
 //! A member that left the list, or that started again without its data, may have held the
-//! only copy of commits that were acknowledged before. The answer of a member whose log is
-//! shorter than it has been is taken for that of such a start. The copy counts as not heard of, unless the
-//! member in question has received what the primary had committed by then, or the log was
-//! handed on to a new member at the same address.
+//! only copy of commits that were acknowledged before. A member whose log is shorter than it
+//! has been counts as one that started without its data. Such a copy counts as not heard of,
+//! unless the member with the longest log has received what the primary had committed by
+//! then, or the copy was handed on to a new member at the same address.
 
 use state::keys::MemberKey;
 use state::log::{LogPosition, Term};
--- a/crates/coordination/src/managed/group.rs
+++ b/crates/coordination/src/managed/group.rs
@@ -303,6 +303,12 @@
         self.sync_replicas = Some(count);
     }
 
+    /// Returns whether the primary is known to acknowledge commits only once replicas have
+    /// received them.
+    pub fn has_sync_replicas(&self) -> bool {
+        self.sync_replicas.is_some_and(|count| count > 0)
+    }
+
     /// Returns how many replicas have received each acknowledged commit. While the plan is
     /// not known, one is assumed, so that no commit is given up by mistake.
     pub fn required_copies(&self) -> u32 {
--- a/crates/coordination/src/managed/probe.rs
+++ b/crates/coordination/src/managed/probe.rs
@@ -75,7 +75,7 @@
     let (primary, term) = view.primary().filter(|_| !view.is_changing())?;
     let is_recent = |at: Instant| now.saturating_duration_since(at) < PAUSE_CHECK_INTERVAL;
     if duty == ProbeDuty::Served
-        || group.required_copies() == 0
+        || !group.has_sync_replicas()
         || group.pauses_checked_at.is_some_and(is_recent)
     {
         return None;
--- a/crates/transport/src/managed/change_driver.rs
+++ b/crates/transport/src/managed/change_driver.rs
@@ -141,14 +141,8 @@
         let mut poll_log = PollLog::default();
         loop {
             let now = self.context.clock.now();
-            let sync_replicas = self.sync_replicas(group);
-            let step = group.with(|group| {
-                if let Some(count) = sync_replicas {
-                    group.set_sync_replicas(count);
-                }
-                procedure.next(group, outcome, now)
-            });
-            outcome = match step {
+            self.context.settle_sync_replicas(group);
+            outcome = match group.with(|group| procedure.next(group, outcome, now)) {
                 ChangeStep::ReadLease => {
                     let is_confirming = procedure.is_confirming();
                     let reading = self.read_lease_or_wait(group, is_confirming).await?;
@@ -202,14 +196,6 @@
         }
     }
 
-    /// Returns how many replicas hold a commit before it is acknowledged, according to the
-    /// plan in force; `None` if that does not name the group.
-    fn sync_replicas(&self, group: &GroupRuntime<K, C>) -> Option<u32> {
-        let plan = self.context.plan()?;
-        let settings = plan.groups.get(&group.name)?;
-        Some(settings.sync_replicas)
-    }
-
     /// Reads the lease row. While the era is confirmed before an order, a store that does
     /// not answer is waited for, and `None` is returned.
     async fn read_lease_or_wait(
--- a/crates/transport/src/managed/context.rs
+++ b/crates/transport/src/managed/context.rs
@@ -138,6 +138,15 @@
         lock(&self.plan).plan().cloned()
     }
 
+    /// Applies the number of synchronous replicas of the plan in force, if it names the group.
+    pub(super) fn settle_sync_replicas(&self, group: &GroupRuntime<K, C>) {
+        let plan = self.plan();
+        let settings = plan.as_ref().and_then(|plan| plan.groups.get(&group.name));
+        if let Some(settings) = settings {
+            group.with(|group| group.set_sync_replicas(settings.sync_replicas));
+        }
+    }
+
     /// Waits until a plan is in force, but no longer than `max_wait`.
     pub(crate) async fn await_plan(&self, max_wait: Duration) {
         let mut known = self.has_plan.subscribe();
--- a/crates/transport/src/managed/group_watch.rs
+++ b/crates/transport/src/managed/group_watch.rs
@@ -45,6 +45,7 @@
         if now.saturating_duration_since(maintained_at) >= POOL_MAINTENANCE_INTERVAL {
             maintained_at = now;
             context.settle_hosts();
+            context.settle_sync_replicas(&group);
             group.maintain_pools(&context.metrics);
         }
         group.adopt_successor();
