--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -26,6 +26,9 @@
     pub slots: usize,
     /// Time that a read, write or commit takes in its slot.
     pub work: Duration,
+    /// Rows of a read's answer, and the length of all but the first.
+    pub rows: usize,
+    pub row_bytes: usize,
     /// Time after which a replica applies a commit that it received.
     pub lag: Duration,
 }
@@ -48,7 +51,6 @@
     is_primary: bool,
     term: u64,
     log: Vec<Entry>,
-    is_draining: bool,
     /// Entries of the log that were applied so far.
     applied: usize,
     sequence: u64,
@@ -58,6 +60,8 @@
     pub id: String,
     /// Whether the process runs.
     is_running: AtomicBool,
+    /// Whether the process runs and answers nothing.
+    is_dark: AtomicBool,
     zone: &'static str,
     pub address: SocketAddr,
     slots: Mutex<usize>,
@@ -76,27 +80,21 @@
 }
 
 impl Group {
-    /// Starts `count` members; the ids of `spare` more are known, and they start later.
     pub fn start(
         name: &'static str,
         count: usize,
-        spare: usize,
         options: GroupOptions,
         record: Arc<Record>,
     ) -> Arc<Group> {
         let mut listeners = Vec::new();
         let mut members = Vec::new();
         let mut states = Vec::new();
-        for index in 0..count + spare {
+        for index in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
             members.push(Member {
-                // Members that start later have ids between that of the first one and the others.
-                id: format!(
-                    "i-{}{:06x}",
-                    &name[..2],
-                    0x7a1000 + rank(index, count) * 4099
-                ),
-                is_running: AtomicBool::new(index < count),
+                id: format!("i-{}{:06x}", &name[..2], 0x7a1000 + index * 4099),
+                is_dark: AtomicBool::new(false),
+                is_running: AtomicBool::new(true),
                 zone: ZONES[index % ZONES.len()],
                 address: listener.local_addr().expect("an address"),
                 slots: Mutex::new(options.slots),
@@ -112,7 +110,6 @@
                     item: "begin".to_owned(),
                     data: "-".to_owned(),
                 }],
-                is_draining: false,
                 applied: 1,
                 sequence: 0,
             });
@@ -154,43 +151,35 @@
         self.members[index].is_running.load(Ordering::Relaxed)
     }
 
-    /// Returns the index of the primary.
-    pub fn primary(&self) -> usize {
-        let states = self.states.lock().unwrap();
-        states
-            .iter()
-            .position(|state| state.is_primary)
-            .unwrap_or(0)
-    }
-
-    /// Starts a spare member as a replica with the log of the primary.
-    pub fn start_member(&self, index: usize, store: &Store) {
-        self.record
-            .line(&format!("member {} starts", self.members[index].id));
+    /// Lets a member answer nothing, or answer again.
+    pub fn set_dark(&self, index: usize, is_dark: bool, store: &Store) {
+        let id = &self.members[index].id;
+        self.record.line(&format!(
+            "member {id} {}",
+            if is_dark { "goes dark" } else { "is back" }
+        ));
         self.members[index]
-            .is_running
-            .store(true, Ordering::Relaxed);
-        replicate(&mut self.states.lock().unwrap());
-        self.write_entries(store);
-    }
-
-    /// Lets a member report that it leaves. Returns the time at which the store has accepted that.
-    pub fn drain_member(&self, index: usize, store: &Store) -> u64 {
-        self.states.lock().unwrap()[index].is_draining = true;
-        self.write_entries(store);
-        self.record
-            .line(&format!("member {} is draining", self.members[index].id));
-        self.record.now_ms()
+            .is_dark
+            .store(is_dark, Ordering::Relaxed);
+        if !is_dark {
+            self.write_entries(store);
+        }
     }
 
-    /// Ends a member that has drained.
-    pub fn end_member(&self, index: usize, store: &Store) {
-        self.record
-            .line(&format!("member {} exits", self.members[index].id));
+    /// Ends a member for good. Its entry goes after three heartbeats.
+    pub fn lose_member(self: &Arc<Self>, index: usize, store: &Arc<Store>) {
+        self.record.line(&format!(
+            "member {} is lost for good",
+            self.members[index].id
+        ));
         self.members[index]
             .is_running
             .store(false, Ordering::Relaxed);
-        store.remove("servers", &self.members[index].id);
+        let (group, store) = (self.clone(), store.clone());
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(3));
+            store.remove("servers", &group.members[index].id);
+        });
     }
 
     fn write_entries(&self, store: &Store) {
@@ -198,14 +187,10 @@
         {
             let mut states = self.states.lock().unwrap();
             for (member, state) in self.members.iter().zip(states.iter_mut()) {
-                if !member.is_running.load(Ordering::Relaxed) {
+                let is_dark = member.is_dark.load(Ordering::Relaxed);
+                if is_dark || !member.is_running.load(Ordering::Relaxed) {
                     continue;
                 }
-                let word = if state.is_draining {
-                    "draining"
-                } else {
-                    "ready"
-                };
                 state.sequence += 1;
                 let role = if state.is_primary {
                     "primary"
@@ -214,13 +199,12 @@
                 };
                 let entry = format!(
                     "{{\"service\":{},\"endpoint\":{},\"zone\":{},\"version\":\"1\",\
-                     \"capacity\":{},\"state\":{},\"coldLeftMs\":0,\"sequence\":{},\
+                     \"capacity\":{},\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":{},\
                      \"dbRole\":{},\"born\":1700000000000}}",
                     quote(self.name),
                     quote(&member.address.to_string()),
                     quote(member.zone),
                     self.options.slots,
-                    quote(word),
                     state.sequence,
                     quote(role)
                 );
@@ -318,6 +302,9 @@
             let Some(line) = read_line(&mut input).filter(|_| self.is_running(index)) else {
                 return;
             };
+            while self.members[index].is_dark.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(20));
+            }
             let mut fields = line.splitn(3, ' ');
             let (word, first) = (fields.next().unwrap_or(""), fields.next().unwrap_or(""));
             let rest = fields.next().unwrap_or("");
@@ -475,7 +462,9 @@
                 let found = log.iter().rev().find(|entry| entry.item == item);
                 let value = found.map_or("", |entry| entry.data.as_str()).to_owned();
                 drop(states);
-                Ok(vec![value.into_bytes()])
+                let mut rows = vec![value.into_bytes()];
+                rows.extend((1..self.options.rows).map(|_| vec![b'x'; self.options.row_bytes]));
+                Ok(rows)
             }
             "WRITE" if !states[index].is_primary => Err("READONLY"),
             "WRITE" => {
@@ -519,15 +508,6 @@
     prepared: HashMap<String, String>,
 }
 
-/// Returns the rank of a member by its id.
-fn rank(index: usize, count: usize) -> usize {
-    match index {
-        0 => 0,
-        index if index < count => index + 10,
-        index => index - count + 1,
-    }
-}
-
 fn replicate(states: &mut [MemberState]) {
     let Some(primary) = states.iter().position(|state| state.is_primary) else {
         return;
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,8 +8,8 @@
 mod site;
 mod store;
 
-mod keys;
-mod leave;
+mod large;
+mod recover;
 mod switch;
 mod term;
 
@@ -96,8 +96,8 @@
     });
     let outcome = match case.as_str() {
         "term" => term::run(&record),
-        "keys" => keys::run(&record),
-        "leave" => leave::run(&record),
+        "large" => large::run(&record),
+        "recover" => recover::run(&record),
         "switch" => switch::run(&record),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -1,24 +1,17 @@
 //! What was sent, answered and run, with the milliseconds since the start.
 
+use std::collections::HashSet;
 use std::fs::File;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// A statement that a member ran.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub at_ms: u64,
-    pub member: String,
-    pub caller: String,
-    pub id: String,
-}
-
 pub struct Record {
     started: Instant,
     file: Mutex<File>,
-    runs: Mutex<Vec<Run>>,
+    /// Ids of the statements that members ran.
+    ids: Mutex<HashSet<String>>,
     numbers: AtomicU64,
 }
 
@@ -27,7 +20,7 @@
         Record {
             started: Instant::now(),
             file: Mutex::new(File::create(path).expect("the record can be written")),
-            runs: Mutex::default(),
+            ids: Mutex::default(),
             numbers: AtomicU64::new(0),
         }
     }
@@ -44,16 +37,12 @@
     pub fn ran(&self, member: &str, caller: &str, id: &str, text: &str) {
         let shown: String = text.chars().take(60).collect();
         self.line(&format!("member {member} runs {id} of {caller}: {shown}"));
-        self.runs.lock().unwrap().push(Run {
-            at_ms: self.now_ms(),
-            member: member.to_owned(),
-            caller: caller.to_owned(),
-            id: id.to_owned(),
-        });
+        self.ids.lock().unwrap().insert(id.to_owned());
     }
 
-    pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap().clone()
+    /// Returns whether a member ran the statement with an id.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.ids.lock().unwrap().contains(id)
     }
 
     pub fn next_number(&self) -> u64 {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -12,9 +12,6 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// Members of a service that start later.
-const SPARE: usize = 3;
-
 /// Processes that were started and may still run.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -35,8 +32,6 @@
     pub store: Arc<Store>,
     /// The members of the first service.
     pub group: Arc<Group>,
-    /// The members of the second service.
-    pub other: Arc<Group>,
     pub daemons: Vec<Daemon>,
     folder: PathBuf,
 }
@@ -44,8 +39,6 @@
 pub struct Daemon {
     pub name: String,
     pub front: SocketAddr,
-    /// Address at which the daemon calls the store.
-    pub store: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
@@ -58,8 +51,8 @@
             lag: Duration::ZERO,
             ..options
         };
-        let group = Group::start(SERVICE, 3, SPARE, options, record.clone());
-        let other = Group::start(OTHER_SERVICE, 3, SPARE, prompt, record.clone());
+        let group = Group::start(SERVICE, 3, options, record.clone());
+        let other = Group::start(OTHER_SERVICE, 3, prompt, record.clone());
         let (first, second, noted) = (group.clone(), other.clone(), record.clone());
         let store = Store::start(Box::new(move |service, id, holder, fence| {
             noted.line(&format!(
@@ -82,7 +75,6 @@
             record,
             store,
             group,
-            other,
             daemons,
             folder,
         };
@@ -164,6 +156,18 @@
         STARTED.lock().unwrap().retain(|id| *id != child.id());
         false
     }
+
+    /// Returns the resident memory of a daemon in MB, or `None` if it does not run.
+    pub fn memory_mb(&mut self, index: usize) -> Option<f64> {
+        let child = self.daemons[index].child.as_mut()?;
+        if !matches!(child.try_wait(), Ok(None)) {
+            return None;
+        }
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kib: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kib / 1024.0)
+    }
 }
 
 impl Drop for Site {
@@ -207,7 +211,6 @@
         Daemon {
             log: folder.join(format!("{name}.log")),
             front: at(0),
-            store,
             ready: at(1),
             name,
             settings,
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -23,7 +23,6 @@
 }
 
 pub struct Store {
-    turned_away: Mutex<Vec<SocketAddr>>,
     tables: Mutex<Tables>,
     changed: Condvar,
     started: Instant,
@@ -34,7 +33,6 @@
     /// `promote` gets service, id, holder and fence, and returns the status of the answer.
     pub fn start(promote: Promote) -> Arc<Store> {
         Arc::new(Store {
-            turned_away: Mutex::default(),
             tables: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
@@ -63,16 +61,7 @@
         self.changed.notify_all();
     }
 
-    /// Turns the machine with this address away with 503, or serves it again.
-    pub fn turn_away(&self, address: SocketAddr, is_turned_away: bool) {
-        let mut turned_away = self.turned_away.lock().unwrap();
-        turned_away.retain(|known| *known != address);
-        if is_turned_away {
-            turned_away.push(address);
-        }
-    }
-
-    /// Opens another address, at which one machine calls the store.
+    /// Opens an address, at which one machine calls the store.
     pub fn open(self: &Arc<Store>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
@@ -80,13 +69,13 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
-                thread::spawn(move || store.serve(address, stream));
+                thread::spawn(move || store.serve(stream));
             }
         });
         address
     }
 
-    fn serve(&self, address: SocketAddr, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) {
         stream.set_nodelay(true).ok();
         let Ok(mut output) = stream.try_clone() else {
             return;
@@ -120,12 +109,7 @@
                 return;
             }
             let body = String::from_utf8_lossy(&body).into_owned();
-            let is_turned_away = self.turned_away.lock().unwrap().contains(&address);
-            // The promotion service is another service of the platform.
-            let (status, answer) = match is_turned_away && !target.starts_with("/failover") {
-                true => (503, "{}".to_owned()),
-                false => self.answer(method, target, &headers, &body),
-            };
+            let (status, answer) = self.answer(method, target, &headers, &body);
             let head = format!(
                 "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 answer.len()
--- a/review/standin-3/switch.rs
+++ b/review/standin-3/switch.rs
@@ -22,6 +22,8 @@
     let options = GroupOptions {
         slots: 2,
         work: Duration::from_millis(5),
+        rows: 1,
+        row_bytes: 0,
         lag: LAG,
     };
     let route = Route {
--- a/review/standin-3/term.rs
+++ b/review/standin-3/term.rs
@@ -27,6 +27,8 @@
     let options = GroupOptions {
         slots: 3,
         work: Duration::from_millis(300),
+        rows: 1,
+        row_bytes: 0,
         lag: Duration::from_millis(8),
     };
     let config = configuration(
@@ -64,14 +66,12 @@
     for client in clients {
         client.join().ok();
     }
-    let runs = record.runs();
     let mut broken = Vec::new();
     for request in sent.lock().unwrap().iter() {
-        let run = runs.iter().find(|run| run.id == request.id);
         let is_cut = request.answer == Answer::Cut;
         let held_ms = request.end_ms - request.at_ms;
         // Not counted: the route's timeout was reached, or the member was still at work.
-        let is_excused = held_ms >= TIMEOUT_MS || run.is_some();
+        let is_excused = held_ms >= TIMEOUT_MS || record.has_run(&request.id);
         if is_cut && !is_excused && held_ms > LOST_SLACK_MS && request.end_ms > term_ms {
             broken.push(format!(
                 "LOST: request {} was sent {} ms after the SIGTERM, no member ran it, and its connection \
