--- a/review/standin-3/recover.rs
+++ b/review/standin-3/recover.rs
@@ -14,7 +14,7 @@
 const TIMEOUT_MS: u64 = 1_000;
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Time for which the primary answers nothing.
-const DARK: Duration = Duration::from_secs(4);
+const DARK: Duration = Duration::from_secs(6);
 const CLIENTS: usize = 6;
 
 /// When a request was sent, and whether it was served.
@@ -52,27 +52,27 @@
             work(number, front, &sent, &stopped, &record)
         }));
     }
-    thread::sleep(Duration::from_secs(15));
-    for index in [1, 2] {
-        site.group.lose_member(index, &site.store);
-    }
-    if has_trouble() {
-        site.group.set_dark(0, true, &site.store);
-    }
-    thread::sleep(DARK);
-    if has_trouble() {
-        site.group.set_dark(0, false, &site.store);
-    }
-    thread::sleep(Duration::from_secs(4));
+    thread::sleep(Duration::from_secs(12));
     let fault_ms = record.now_ms();
     record.line("the final fault: all daemons are killed");
     for index in 0..2 {
         site.await_end(index, Duration::ZERO);
     }
+    if has_trouble() {
+        site.group.set_dark(0, true, &site.store);
+        let (group, store) = (site.group.clone(), site.store.clone());
+        thread::spawn(move || {
+            thread::sleep(DARK);
+            group.set_dark(0, false, &store);
+        });
+    }
     thread::sleep(Duration::from_millis(1_200));
     for index in 0..2 {
         site.start_daemon(index);
     }
+    for index in [1, 2] {
+        site.group.lose_member(index, &site.store);
+    }
     let back = Instant::now();
     while back.elapsed() < RECOVERY {
         thread::sleep(Duration::from_millis(100));
