--- a/review/standin-3/group.rs
+++ b/review/standin-3/group.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -62,6 +62,8 @@
     is_running: AtomicBool,
     /// Whether the process runs and answers nothing.
     is_dark: AtomicBool,
+    /// Open connections.
+    streams: Mutex<Vec<TcpStream>>,
     zone: &'static str,
     pub address: SocketAddr,
     slots: Mutex<usize>,
@@ -94,6 +96,7 @@
             members.push(Member {
                 id: format!("i-{}{:06x}", &name[..2], 0x7a1000 + index * 4099),
                 is_dark: AtomicBool::new(false),
+                streams: Mutex::default(),
                 is_running: AtomicBool::new(true),
                 zone: ZONES[index % ZONES.len()],
                 address: listener.local_addr().expect("an address"),
@@ -126,11 +129,19 @@
         for (index, listener) in listeners.into_iter().enumerate() {
             let group = group.clone();
             thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let group = group.clone();
-                    if group.is_running(index) {
-                        thread::spawn(move || group.serve(index, stream));
+                listener.set_nonblocking(true).expect("a listener");
+                // A member that is lost closes its port, so that connections are refused.
+                while group.is_running(index) {
+                    let Ok((stream, _)) = listener.accept() else {
+                        thread::sleep(Duration::from_millis(1));
+                        continue;
+                    };
+                    stream.set_nonblocking(false).ok();
+                    if let Ok(copy) = stream.try_clone() {
+                        group.members[index].streams.lock().unwrap().push(copy);
                     }
+                    let group = group.clone();
+                    thread::spawn(move || group.serve(index, stream));
                 }
             });
         }
@@ -151,8 +162,8 @@
         self.members[index].is_running.load(Ordering::Relaxed)
     }
 
-    /// Lets a member answer nothing, or answer again.
-    pub fn set_dark(&self, index: usize, is_dark: bool, store: &Store) {
+    /// Lets a member answer nothing, or answer again. Its entry goes after three heartbeats.
+    pub fn set_dark(self: &Arc<Self>, index: usize, is_dark: bool, store: &Arc<Store>) {
         let id = &self.members[index].id;
         self.record.line(&format!(
             "member {id} {}",
@@ -161,24 +172,38 @@
         self.members[index]
             .is_dark
             .store(is_dark, Ordering::Relaxed);
-        if !is_dark {
+        if is_dark {
+            self.remove_later(index, store);
+        } else {
             self.write_entries(store);
         }
     }
 
-    /// Ends a member for good. Its entry goes after three heartbeats.
+    /// Ends a member for good: its connections break, and new ones are refused. Its entry goes
+    /// after three heartbeats.
     pub fn lose_member(self: &Arc<Self>, index: usize, store: &Arc<Store>) {
-        self.record.line(&format!(
-            "member {} is lost for good",
-            self.members[index].id
-        ));
-        self.members[index]
-            .is_running
-            .store(false, Ordering::Relaxed);
+        let member = &self.members[index];
+        self.record
+            .line(&format!("member {} is lost for good", member.id));
+        member.is_running.store(false, Ordering::Relaxed);
+        for stream in member.streams.lock().unwrap().drain(..) {
+            stream.shutdown(Shutdown::Both).ok();
+        }
+        self.remove_later(index, store);
+    }
+
+    /// Removes a member's entry after three heartbeats, unless it has answered again.
+    fn remove_later(self: &Arc<Self>, index: usize, store: &Arc<Store>) {
         let (group, store) = (self.clone(), store.clone());
         thread::spawn(move || {
             thread::sleep(Duration::from_secs(3));
-            store.remove("servers", &group.members[index].id);
+            let member = &group.members[index];
+            if member.is_dark.load(Ordering::Relaxed) || !group.is_running(index) {
+                group
+                    .record
+                    .line(&format!("the entry of member {} is removed", member.id));
+                store.remove("servers", &member.id);
+            }
         });
     }
 
@@ -302,8 +327,12 @@
             let Some(line) = read_line(&mut input).filter(|_| self.is_running(index)) else {
                 return;
             };
-            while self.members[index].is_dark.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_millis(20));
+            if self.members[index].is_dark.load(Ordering::Relaxed) {
+                // What reaches a dark member is not run, and its connection breaks later.
+                while self.members[index].is_dark.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                return;
             }
             let mut fields = line.splitn(3, ' ');
             let (word, first) = (fields.next().unwrap_or(""), fields.next().unwrap_or(""));
@@ -384,6 +413,10 @@
         let is_primary = || self.states.lock().unwrap()[index].is_primary;
         match word {
             "STATUS" | "STEPDOWN" | "PAUSE" | "RESUME" => {
+                // `STATUS` needs a free slot, the others do not.
+                if word == "STATUS" && *self.members[index].slots.lock().unwrap() == 0 {
+                    return Err("BUSY");
+                }
                 let mut states = self.states.lock().unwrap();
                 let state = &mut states[index];
                 if word == "STEPDOWN" && state.term < item.parse().unwrap_or(0) {
--- a/review/standin-3/recover.rs
+++ b/review/standin-3/recover.rs
@@ -15,6 +15,8 @@
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Time for which the primary answers nothing.
 const DARK: Duration = Duration::from_secs(6);
+/// Time for which the processes are down after they were killed.
+const DOWN: Duration = Duration::from_millis(970);
 const CLIENTS: usize = 6;
 
 /// When a request was sent, and whether it was served.
@@ -66,7 +68,7 @@
             group.set_dark(0, false, &store);
         });
     }
-    thread::sleep(Duration::from_millis(1_200));
+    thread::sleep(DOWN);
     for index in 0..2 {
         site.start_daemon(index);
     }
