--- a/review/standin-3/large.rs
+++ b/review/standin-3/large.rs
@@ -11,8 +11,8 @@
 use crate::site::{Answer, Client, Site};
 use crate::{configuration, has_trouble, Route};
 
-/// `memoryMb` of a machine of anikapoa with 0.25 cores.
-const MEMORY_MB: f64 = 260.0;
+/// `memoryMb` of the two machines of anikapoa in zone nbo-a.
+const MEMORY_MB: f64 = 390.0;
 const TIMEOUT_MS: u64 = 1_500;
 /// Machines, and ends of processes on each, that make the day count 0.
 const MACHINES: usize = 2;
